--- /dev/null
+++ b/balance/admission.go
@@ -0,0 +1,206 @@
+package balance
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	congestionLeast = 10  // outcomes that a congested share is taken of, at the least
+	congestionHigh  = 0.1 // above this share the tier is over its capacity: more is lost to lateness than let in
+	limitRaise      = 1.1 // per round trip
+	limitMin        = 4
+	recentlyServed  = 500 * time.Millisecond // a server that answered within it is alive
+	valueMemory     = 500                    // requests over which the mean value is taken
+	budgetSpread    = 0.95                   // usual budgets of a class lie within this of each other: delays on the way differ
+	shedFrom        = 0.75                   // requests of little value are refused from this share of the limit on
+)
+
+// admission limits the attempts out at once where clients enter. In overload
+// servers turn away or finish late whatever comes last, after tiers above
+// have worked for it; refusing at the door keeps the rest in time, and lets
+// the worth of a request decide instead of its luck.
+type admission struct {
+	outcomes  int     // since the limit last moved
+	congested int     // of them turned away as full or late
+	late      int     // of these, out past their aim
+	outBefore int     // attempts out when the limit last moved
+	limit     float64 // attempts out at once; 0 means none needed yet
+	refused   bool    // a request since the last step
+	meanValue float64
+	seen      float64
+	quotas    []quota
+}
+
+// quota is the part of a tenant's share that passes this balancer.
+type quota struct {
+	perSecond float64
+	tokens    float64
+	at        time.Duration
+}
+
+// within tells whether one more request is inside the share. Only what enters
+// is booked (spend): the repeats of refused clients would use the share up.
+func (q *quota) within(now time.Duration) bool {
+	if q.perSecond <= 0 {
+		return true
+	}
+	q.tokens = min(q.tokens+q.perSecond*(now-q.at).Seconds(), max(1, q.perSecond))
+	q.at = now
+	return q.tokens >= 1
+}
+
+func (q *quota) spend() { q.tokens = max(0, q.tokens-1) }
+
+// observe books how an attempt ended. The limit moves once in as many outcomes
+// as there were attempts out, one round trip, so that each move shows in what
+// the next one is judged by; moving faster swings between jam and idleness.
+func (a *admission) observe(congested bool, out int, inAim float64) {
+	a.outcomes++
+	if congested {
+		a.congested++
+	}
+	if a.outcomes < max(congestionLeast, a.outBefore) {
+		return
+	}
+	over := float64(a.congested)/float64(a.outcomes) - congestionHigh
+	if over > 0 {
+		if a.limit == 0 {
+			a.limit = float64(out + 1)
+		}
+		a.limit *= 1 - over/2
+		if 2*a.late > a.congested {
+			// A jam: of more out than are served within an aim the mean one
+			// is late (Little's law). Where servers turn away instead, the
+			// served count falls with the limit, and would pull it to nothing.
+			a.limit = min(a.limit, inAim)
+		}
+		a.limit = max(limitMin, a.limit)
+	} else if a.refused {
+		// Not "out is near the limit": a small limit is never near to full
+		// when an outcome comes in, and would stay small for good.
+		a.limit *= limitRaise
+	}
+	a.outcomes, a.congested, a.late, a.refused, a.outBefore = 0, 0, 0, false, out
+}
+
+// admits tells whether a request that has this part of its value left may
+// enter with so many attempts out. Below the mean value the door closes
+// earlier. The mean is of whole values: the many late repeats of an overload
+// would lower it until the classes no longer differed.
+func (a *admission) admits(value, part float64, out int) bool {
+	a.seen = min(a.seen+1, valueMemory)
+	a.meanValue += (value - a.meanValue) / a.seen
+	if a.limit == 0 {
+		return true
+	}
+	relative := 1.0
+	if a.meanValue > 0 {
+		relative = math.Min(1, value*part/a.meanValue)
+	}
+	ok := float64(out) < a.limit*(shedFrom+(1-shedFrom)*relative)
+	a.refused = a.refused || !ok
+	return ok
+}
+
+// enter tells whether a client's request may enter.
+func (b *Balancer) enter(now time.Duration, r *request, tenant int) bool {
+	part := 1.0
+	if b.waited(r) >= b.cfg.Classes[r.class].Aim {
+		part = b.cfg.Classes[r.class].LateWorth
+	}
+	if !b.door.admits(b.value(now, r.class, tenant), part, b.outTotal) {
+		return false
+	}
+	if tenant >= 0 && tenant < len(b.door.quotas) {
+		b.door.quotas[tenant].spend()
+	}
+	return true
+}
+
+// waited is how long the client has waited in tries before r, as far as its
+// budget shows: most tries come with the same budget, while the last one has
+// what the client's patience leaves, more or less than that. In overload many
+// requests are such repeats, whose aim has passed before they come; serving
+// them first would make the fresh ones late as well.
+func (b *Balancer) waited(r *request) time.Duration {
+	c := &b.classes[r.class]
+	budget := r.deadline - r.arrived
+	if near := float64(budget) / float64(max(c.usual, 1)); near > budgetSpread && near*budgetSpread < 1 {
+		c.votes = min(c.votes+1, valueMemory)
+		return 0
+	}
+	if c.votes == 0 { // a majority vote: the largest is not the usual one
+		c.usual = budget
+		return 0
+	}
+	c.votes--
+	return b.cfg.Classes[r.class].Deadline - budget
+}
+
+// value is what serving a request adds to the operators' goal for the work it
+// costs: its worth beside the mean worth and, where the goal also weighs the
+// worst served class, its share of that class. Worth alone would starve the
+// class that is worth least.
+func (b *Balancer) value(now time.Duration, class, tenant int) float64 {
+	c := &b.classes[class]
+	c.asked++
+	total, worth, worst := 0.0, 0.0, class
+	for i := range b.classes {
+		k := &b.classes[i]
+		total += k.asked
+		worth += k.asked * b.cfg.Classes[i].Worth
+		w := &b.classes[worst]
+		if k.served*w.asked < w.served*k.asked {
+			worst = i
+		}
+	}
+	if total > valueMemory {
+		for i := range b.classes {
+			b.classes[i].asked /= 2
+			b.classes[i].served /= 2
+		}
+	}
+	v := (1 - b.cfg.WorstClassWeight) * b.cfg.Classes[class].Worth
+	if worth > 0 {
+		v *= total / worth
+	}
+	if class == worst {
+		v += b.cfg.WorstClassWeight * total / c.asked
+	}
+	if tenant >= 0 && tenant < len(b.door.quotas) && !b.door.quotas[tenant].within(now) {
+		v *= b.cfg.OverShareWorth
+	}
+	return v / b.ratio(class)
+}
+
+// congestion tells whether an outcome speaks of a tier over its capacity. A
+// refused connection does if the endpoint has just served: then its connection
+// table is full, while a dead or cut off one has not served.
+func (b *Balancer) congestion(now time.Duration, r *request, a *attempt, result Result, elapsed time.Duration) bool {
+	e := &b.eps[a.endpoint]
+	if result == ConnectError {
+		return e.servedAt > 0 && now-e.servedAt < recentlyServed
+	}
+	return result == Overloaded || result == Timeout || result == OK && elapsed > b.cfg.Classes[r.class].Aim
+}
+
+// noteLate tells the door of an attempt that is out past its aim. Waiting for
+// its outcome would show a jam only after the clients' whole patience, with
+// every request of that time let in to be late as well.
+func (b *Balancer) noteLate(now time.Duration, r *request) {
+	if r.out == 0 {
+		return
+	}
+	a := &r.attempts[len(r.attempts)-1]
+	if !a.done && !a.late {
+		a.late = true
+		b.door.late++
+		b.door.observe(true, b.outTotal, b.inAim(now, r.class))
+	}
+}
+
+// inAim is how many requests this balancer sees served within a class's aim.
+func (b *Balancer) inAim(now time.Duration, class int) float64 {
+	return b.servedRate.perSecond(now) * b.cfg.Classes[class].Aim.Seconds()
+}
--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,681 @@
+// Package balance makes the decisions of a load balancer that sits beside a
+// caller: which endpoint gets an attempt, when to try again, when to refuse.
+//
+// A Balancer is told what happens by method calls that carry the time, and
+// acts through a Host. It does no I/O, keeps no clock and starts nothing; the
+// same events and seed give the same actions. It is not safe for concurrent
+// use.
+//
+// The rule for an ordinary request is the ratio approach of Küting et al.,
+// "Client-Based Adaptive Load Balancing in Service-Oriented Systems"; see
+// docs/design.md for what was kept and what was changed.
+package balance
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// RequestID names a request; ids must be unique and below 1<<60.
+type RequestID uint64
+
+// Semantics tells what repeating a request does.
+type Semantics int
+
+const (
+	Safe   Semantics = iota // any number of repeats is harmless
+	Keyed                   // a group of endpoints drops repeats for a while
+	Unsafe                  // must never run twice
+)
+
+// Scope is the group of endpoints that drops the repeats of a Keyed request.
+type Scope int
+
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Class holds the settings of one class of requests.
+type Class struct {
+	Aim        time.Duration // an answer within it earns full worth; 0 means Deadline
+	Deadline   time.Duration // the client's whole patience
+	Semantics  Semantics
+	Scope      Scope
+	MemorySpan time.Duration // how long a Keyed repeat is dropped
+	Worth      float64
+	LateWorth  float64 // part of Worth that an answer after Aim earns
+}
+
+// Config holds the settings of a Balancer.
+type Config struct {
+	Index        int // this instance among the tier's balancers
+	Instances    int // how many balancers share the tier
+	Zone         int
+	Classes      []Class
+	Entry        bool      // clients send here, not balancers of a tier above
+	Tenants      []float64 // requests a second within each tenant's share, over all instances; 0 means no share
+	AttemptLimit int
+	MayDuplicate bool // two attempts of a request may be out at once
+
+	CrossZonePrice   float64 // points of the goal, as a part of 1, for a crossing per request
+	WorstClassWeight float64 // part of the goal that is the worst served class's share, 0 to 1
+	OverShareWorth   float64 // worth of a request beyond its tenant's share
+
+	ColdShare   float64       // an endpoint starts at this share of its capacity, or more
+	RampTime    time.Duration // and has all of it after this
+	OverloadFor time.Duration // span over which a cold endpoint's load is judged
+
+	ConnIdle  time.Duration // idle connections close after this
+	Multiplex int           // attempts that share a connection
+
+	AskDiscovery bool          // lists come only after Watch
+	AskWithin    time.Duration // ask again at least this often while not watching
+}
+
+func (c *Config) validate() error {
+	switch {
+	case len(c.Classes) == 0:
+		return errors.New("balance: Classes: none given")
+	case c.Instances < 1:
+		return fmt.Errorf("balance: Instances: %d, want 1 or more", c.Instances)
+	case c.Index < 0 || c.Index >= c.Instances:
+		return fmt.Errorf("balance: Index: %d, want 0 to Instances-1", c.Index)
+	case c.AttemptLimit < 1:
+		return fmt.Errorf("balance: AttemptLimit: %d, want 1 or more", c.AttemptLimit)
+	case c.Multiplex < 1:
+		return fmt.Errorf("balance: Multiplex: %d, want 1 or more", c.Multiplex)
+	case c.WorstClassWeight < 0 || c.WorstClassWeight > 1:
+		return fmt.Errorf("balance: WorstClassWeight: %v, want 0 to 1", c.WorstClassWeight)
+	case c.ColdShare < 0 || c.ColdShare > 1:
+		return fmt.Errorf("balance: ColdShare: %v, want 0 to 1", c.ColdShare)
+	case c.RampTime < 0 || c.OverloadFor < 0:
+		return errors.New("balance: RampTime and OverloadFor: want 0 or more")
+	case c.AskDiscovery && c.AskWithin <= 0:
+		return errors.New("balance: AskWithin: want more than 0 where AskDiscovery is set")
+	}
+	for i, cl := range c.Classes {
+		if cl.Deadline <= 0 || cl.Aim < 0 {
+			return fmt.Errorf("balance: Classes[%d]: Deadline %v and Aim %v, want a Deadline above 0 and no negative Aim", i, cl.Deadline, cl.Aim)
+		}
+		if cl.Semantics < Safe || cl.Semantics > Unsafe || cl.Scope < ScopeAll || cl.Scope > ScopeCell {
+			return fmt.Errorf("balance: Classes[%d]: unknown Semantics or Scope", i)
+		}
+	}
+	return nil
+}
+
+// Host carries out a Balancer's actions. Its methods must not call back into
+// the Balancer.
+type Host interface {
+	// Send starts the request's next attempt; attempts count from 0. The
+	// time-out is all that the request has left: servers go on with work that
+	// nobody waits for, so a short time-out doubles the load when it is high.
+	Send(id RequestID, addr string, timeout time.Duration)
+	// Refuse ends the request, telling the client that a repeat is harmless.
+	Refuse(id RequestID, retryAfter time.Duration)
+	// Fail ends the request with no promise.
+	Fail(id RequestID)
+	// After asks for a Timer event with this token.
+	After(d time.Duration, token uint64)
+	// Watch subscribes to changes of the endpoint list.
+	Watch()
+}
+
+// State is what the list says of an endpoint.
+type State int
+
+const (
+	Gone State = iota
+	Draining
+	Ready
+)
+
+// Endpoint is one entry of the endpoint list.
+type Endpoint struct {
+	Addr  string
+	State State
+	Zone  int
+	Cell  int
+	Since time.Duration // start of the process; 0 means long ago
+}
+
+// ListKind tells how to read a Members event.
+type ListKind int
+
+const (
+	Delta  ListKind = iota // changed entries only
+	Full                   // all entries; what is missing is gone
+	Cached                 // all entries, maybe outdated
+	Failed                 // asking failed, the old list stands
+)
+
+// Result tells how an attempt ended.
+type Result int
+
+const (
+	OK           Result = iota
+	Error               // the endpoint answered with an error; it may have run
+	Overloaded          // turned away unseen
+	Timeout             // no answer in time; it may have run or still run
+	ConnectError        // no connection; it never ran
+	Reset               // the connection broke; it may have run
+	Cancelled           // withdrawn; it may have run
+	NotSent             // never transmitted
+)
+
+func (r Result) neverRan() bool { return r == Overloaded || r == ConnectError || r == NotSent }
+
+type attempt struct {
+	endpoint int
+	sent     time.Duration
+	ratio    float64
+	done     bool
+	neverRan bool
+	late     bool // its aim passed while it was out, and the door knows
+}
+
+type request struct {
+	id       RequestID
+	class    int
+	arrived  time.Duration
+	deadline time.Duration
+	attempts []attempt
+	out      int
+	closed   bool
+}
+
+func (r *request) tried(i int) bool {
+	for k := range r.attempts {
+		if r.attempts[k].endpoint == i {
+			return true
+		}
+	}
+	return false
+}
+
+// firstRun is the first attempt that may have run or may still, or nil.
+func (r *request) firstRun() *attempt {
+	for k := range r.attempts {
+		if a := &r.attempts[k]; !a.neverRan {
+			return a
+		}
+	}
+	return nil
+}
+
+// classStats learns how long a class takes beside the others.
+type classStats struct {
+	mean float64
+	n    float64
+
+	asked, served float64 // decaying counts at the door and of answers in time
+
+	usual time.Duration // budget that most requests come with
+	votes int           // for it
+}
+
+const classMemory = 200 // samples over which a class's mean forgets
+
+// Balancer decides for one caller. Make it with New.
+type Balancer struct {
+	cfg  Config
+	host Host
+	rng  *rand.Rand
+
+	eps      []endpoint
+	byAddr   map[string]int
+	local    int // how many of ready come first as of the own zone; all where crossings cost nothing
+	zones    []failures
+	ready    []int   // endpoints that the list calls ready, by hash: the ring of subsets
+	capacity float64 // sum of growth over ready, at the last list change
+
+	requests map[RequestID]*request
+	free     []*request
+	held     []RequestID // waiting for an endpoint
+
+	outTotal    int // attempts without an outcome
+	outMean     float64
+	outAt       time.Duration
+	door        admission
+	classes     []classStats
+	servedRate  rate
+	cands       []candidate
+	total       float64
+	retryTokens float64
+	watchFails  int
+	watchDue    bool
+}
+
+// Kinds of timer, in the low bits of a token.
+const (
+	timerDeadline = iota
+	timerHeld
+	timerWatch
+	timerLate
+	timerBits = 3
+)
+
+// New returns a Balancer for cfg whose random draws come from seed.
+func New(cfg Config, seed uint64, host Host) (*Balancer, error) {
+	if host == nil {
+		return nil, errors.New("balance: nil Host")
+	}
+	if err := cfg.validate(); err != nil {
+		return nil, err
+	}
+	b := &Balancer{
+		cfg:      cfg,
+		host:     host,
+		rng:      rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		byAddr:   map[string]int{},
+		requests: map[RequestID]*request{},
+		classes:  make([]classStats, len(cfg.Classes)),
+	}
+	b.cfg.Classes = slices.Clone(cfg.Classes)
+	for i := range b.cfg.Classes {
+		if c := &b.cfg.Classes[i]; c.Aim == 0 {
+			c.Aim = c.Deadline
+		}
+	}
+	for _, perSecond := range cfg.Tenants {
+		b.door.quotas = append(b.door.quotas, quota{perSecond: perSecond / float64(cfg.Instances)})
+	}
+	return b, nil
+}
+
+// Members takes a list of endpoints, or the news that asking for it failed.
+func (b *Balancer) Members(now time.Duration, kind ListKind, list []Endpoint) {
+	if kind == Failed {
+		b.watchFails++
+		b.watchLater()
+		return
+	}
+	if kind == Full || kind == Cached {
+		for i := range b.eps {
+			b.eps[i].State = Gone
+		}
+	}
+	for _, entry := range list {
+		b.member(now, entry)
+	}
+	b.ready = b.ready[:0]
+	b.capacity = 0
+	for i := range b.eps {
+		if b.eps[i].State == Ready {
+			b.ready = append(b.ready, i)
+			b.capacity += b.growth(&b.eps[i], now)
+		}
+	}
+	b.sortRing()
+	if kind != Cached {
+		b.watchFails = 0
+	} else if b.cfg.AskDiscovery {
+		b.watchLater()
+	}
+	b.release(now)
+}
+
+// sortRing orders ready by hash, the own zone first where crossings are priced.
+func (b *Balancer) sortRing() {
+	b.local = 0
+	for _, i := range b.ready {
+		if !b.crosses(i) {
+			b.local++
+		}
+	}
+	slices.SortFunc(b.ready, func(i, k int) int {
+		if b.crosses(i) != b.crosses(k) {
+			if b.crosses(k) {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.eps[i].hash, b.eps[k].hash)
+	})
+}
+
+// crosses tells whether sending to an endpoint is a priced crossing.
+func (b *Balancer) crosses(i int) bool {
+	return b.cfg.CrossZonePrice > 0 && b.eps[i].Zone != b.cfg.Zone
+}
+
+// hashAddr places an endpoint on the ring; all balancers agree on it.
+func hashAddr(addr string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(addr))
+	return h.Sum64()
+}
+
+func (b *Balancer) member(now time.Duration, entry Endpoint) {
+	i, ok := b.byAddr[entry.Addr]
+	if !ok {
+		i = len(b.eps)
+		b.byAddr[entry.Addr] = i
+		b.eps = append(b.eps, endpoint{Endpoint: entry, hash: hashAddr(entry.Addr)})
+		b.eps[i].restart(now, b.rng.Float64())
+		return
+	}
+	e := &b.eps[i]
+	if entry.Since != e.Since {
+		e.restart(now, b.rng.Float64())
+	}
+	e.Endpoint = entry
+}
+
+// watchLater asks for the list after a spread-out delay that doubles with
+// each failure: all instances asking at once would drown discovery.
+func (b *Balancer) watchLater() {
+	if b.watchDue {
+		return
+	}
+	b.watchDue = true
+	limit := b.cfg.AskWithin / 2
+	delay := min(limit, 500*time.Millisecond<<min(b.watchFails, 8))
+	b.host.After(time.Duration(float64(delay)*(0.2+0.8*b.rng.Float64())), timerWatch)
+}
+
+// Request takes a client's request that must be answered within budget.
+func (b *Balancer) Request(now time.Duration, id RequestID, class, tenant int, budget time.Duration) {
+	if class < 0 || class >= len(b.classes) || b.requests[id] != nil {
+		return
+	}
+	r := b.newRequest()
+	*r = request{id: id, class: class, arrived: now, deadline: now + budget, attempts: r.attempts[:0]}
+	b.requests[id] = r
+	if b.cfg.Entry && !b.enter(now, r, tenant) && b.refuse(r, now) {
+		return
+	}
+	b.retryTokens = min(b.retryTokens+retryShare, retryBurst)
+	b.host.After(budget, uint64(id)<<timerBits|timerDeadline)
+	if aim := b.cfg.Classes[class].Aim; b.cfg.Entry && aim < budget {
+		b.host.After(aim, uint64(id)<<timerBits|timerLate)
+	}
+	b.try(r, now)
+}
+
+const (
+	retryShare = 0.2 // immediate retries per request taken
+	retryBurst = 10
+)
+
+func (b *Balancer) newRequest() *request {
+	if n := len(b.free); n > 0 {
+		r := b.free[n-1]
+		b.free = b.free[:n-1]
+		return r
+	}
+	return &request{}
+}
+
+// try sends the next attempt of r if an endpoint can take it, or holds r.
+func (b *Balancer) try(r *request, now time.Duration) {
+	i := b.pick(r, now)
+	if i >= 0 {
+		if b.tooSlow(r, i, now) && b.refuse(r, now) {
+			return
+		}
+		b.send(r, i, now)
+		return
+	}
+	if r.out > 0 {
+		return
+	}
+	if len(r.attempts) > 0 {
+		b.giveUp(r, now)
+		return
+	}
+	b.held = append(b.held, r.id)
+	b.host.After((r.deadline-now)/2, uint64(r.id)<<timerBits|timerHeld)
+}
+
+// release tries the held requests again.
+func (b *Balancer) release(now time.Duration) {
+	held := b.held
+	b.held = nil
+	for _, id := range held {
+		if r := b.requests[id]; r != nil && !r.closed && len(r.attempts) == 0 {
+			b.try(r, now)
+		}
+	}
+}
+
+// tooSlow tells that even the chosen endpoint's mean leaves no time to answer.
+func (b *Balancer) tooSlow(r *request, i int, now time.Duration) bool {
+	m := b.eps[i].mean(now) * b.ratio(r.class)
+	return m > (r.deadline - now).Seconds()
+}
+
+// maySend is the condition of every send: the request is open and in time,
+// the attempt limit holds, the endpoint is ready, the semantics permit it and
+// the cold budget has room. send checks it again, so that no path sends past it.
+func (b *Balancer) maySend(r *request, i int, now time.Duration) bool {
+	e := &b.eps[i]
+	if r.closed || now >= r.deadline || len(r.attempts) >= b.cfg.AttemptLimit || e.State != Ready {
+		return false
+	}
+	if r.out > 0 && !b.cfg.MayDuplicate {
+		return false
+	}
+	return b.mayRepeat(r, e, now) && b.coldAllowed(e, now)
+}
+
+// mayRepeat tells whether the semantics of r allow an attempt at e.
+func (b *Balancer) mayRepeat(r *request, e *endpoint, now time.Duration) bool {
+	c := &b.cfg.Classes[r.class]
+	if c.Semantics == Safe {
+		return true
+	}
+	a := r.firstRun()
+	if a == nil {
+		return true
+	}
+	if c.Semantics == Unsafe || now-a.sent >= c.MemorySpan {
+		return false
+	}
+	was := &b.eps[a.endpoint]
+	switch c.Scope {
+	case ScopeZone:
+		return e.Zone == was.Zone
+	case ScopeCell:
+		return e.Cell == was.Cell
+	}
+	return true
+}
+
+// send is the one gate through which every attempt leaves.
+func (b *Balancer) send(r *request, i int, now time.Duration) bool {
+	if !b.maySend(r, i, now) {
+		return false
+	}
+	e := &b.eps[i]
+	ratio := b.ratio(r.class)
+	e.flights = append(e.flights, flight{id: r.id, attempt: len(r.attempts), sent: now, ratio: ratio})
+	r.attempts = append(r.attempts, attempt{endpoint: i, sent: now, ratio: ratio})
+	r.out++
+	b.outTotal++
+	e.tokens--
+	e.peaks[0] = max(e.open(now, b.cfg.ConnIdle), (len(e.flights)+b.cfg.Multiplex-1)/b.cfg.Multiplex)
+	b.host.Send(r.id, e.Addr, r.deadline-now)
+	return true
+}
+
+// refuse is the one gate for refusals: only while no attempt may have run, or
+// where a repeat is harmless anywhere.
+func (b *Balancer) refuse(r *request, now time.Duration) bool {
+	c := &b.cfg.Classes[r.class]
+	harmless := c.Semantics == Safe || c.Semantics == Keyed && c.Scope == ScopeAll || r.firstRun() == nil
+	if r.closed || !harmless {
+		return false
+	}
+	b.host.Refuse(r.id, 0)
+	b.end(r)
+	return true
+}
+
+// fail is the one gate for failures.
+func (b *Balancer) fail(r *request) {
+	if r.closed {
+		return
+	}
+	b.host.Fail(r.id)
+	b.end(r)
+}
+
+func (b *Balancer) giveUp(r *request, now time.Duration) {
+	if !b.refuse(r, now) {
+		b.fail(r)
+	}
+}
+
+// end closes r; its record goes once its last attempt has an outcome.
+func (b *Balancer) end(r *request) {
+	r.closed = true
+	if r.out == 0 {
+		delete(b.requests, r.id)
+		b.free = append(b.free, r)
+	}
+}
+
+// Outcome tells how an attempt ended, how long it took, and whether the
+// request has its final answer (by this outcome or before).
+func (b *Balancer) Outcome(now time.Duration, id RequestID, number int, result Result, elapsed time.Duration, over bool) {
+	r := b.requests[id]
+	if r == nil || number < 0 || number >= len(r.attempts) || r.attempts[number].done {
+		return
+	}
+	a := &r.attempts[number]
+	a.done = true
+	a.neverRan = result.neverRan()
+	r.out--
+	b.outTotal--
+	b.learn(now, r, a, number, result, elapsed)
+	if !a.late {
+		b.door.observe(b.congestion(now, r, a, result, elapsed), b.outTotal, b.inAim(now, r.class))
+	}
+	if over || r.closed {
+		b.end(r)
+		return
+	}
+	b.next(r, result, now)
+}
+
+// next decides what follows a failed attempt.
+func (b *Balancer) next(r *request, result Result, now time.Duration) {
+	if now >= r.deadline {
+		if r.out == 0 {
+			b.fail(r)
+		}
+		return
+	}
+	if b.retryTokens >= 1 {
+		b.retryTokens--
+		b.try(r, now)
+		return
+	}
+	if r.out > 0 {
+		return
+	}
+	// Out of budget: what never ran waits its turn, which slows the callers
+	// above instead of multiplying attempts in a tier that is full.
+	delay := retryDelay << min(len(r.attempts), 5)
+	delay += time.Duration(b.rng.Float64() * float64(delay))
+	if !result.neverRan() || now+delay-r.arrived > b.patience(r) {
+		b.giveUp(r, now)
+		return
+	}
+	b.host.After(delay, uint64(r.id)<<timerBits|timerHeld)
+}
+
+// retryDelay is the first wait of a request that was turned away, doubled
+// with each attempt: about the time a queue slot takes to come free.
+const retryDelay = 10 * time.Millisecond
+
+// patience is how long a request is kept for a further try before refusing
+// it tells the client more.
+func (b *Balancer) patience(r *request) time.Duration {
+	return min(b.cfg.Classes[r.class].Aim, r.deadline-r.arrived) / 2
+}
+
+// learn books an outcome with its endpoint and class.
+func (b *Balancer) learn(now time.Duration, r *request, a *attempt, number int, result Result, elapsed time.Duration) {
+	e := &b.eps[a.endpoint]
+	e.land(r.id, number)
+	switch result {
+	case OK:
+		b.servedRate.add(now)
+		e.servedAt = now
+		e.addSample(elapsed.Seconds() / a.ratio)
+		e.failures = failures{}
+		*b.zoneFailures(e.Zone) = failures{}
+		c := &b.classes[r.class]
+		if elapsed <= b.cfg.Classes[r.class].Aim {
+			c.served++
+		}
+		c.n = min(c.n+1, classMemory)
+		c.mean += (elapsed.Seconds() - c.mean) / c.n
+	case Error, Overloaded, Timeout, ConnectError, Reset:
+		e.failures.add(now)
+	}
+	if result == ConnectError || result == Timeout || result == Reset {
+		b.zoneFailures(e.Zone).add(now)
+	}
+	if result == ConnectError {
+		b.noConn(e, now)
+	}
+}
+
+// ratio is how much longer a class takes than the mean class. The paper's own
+// remedy for requests of different cost: times are scaled before comparison.
+func (b *Balancer) ratio(class int) float64 {
+	sum, n := 0.0, 0.0
+	for i := range b.classes {
+		if b.classes[i].n > 0 {
+			sum += b.classes[i].mean
+			n++
+		}
+	}
+	c := &b.classes[class]
+	if c.n == 0 || c.mean <= 0 {
+		return 1
+	}
+	return c.mean * n / sum
+}
+
+// Withdrawn tells that the client has left.
+func (b *Balancer) Withdrawn(_ time.Duration, id RequestID) {
+	if r := b.requests[id]; r != nil && !r.closed {
+		b.end(r)
+	}
+}
+
+// Timer tells that a timer asked for with After is due.
+func (b *Balancer) Timer(now time.Duration, token uint64) {
+	if token == timerWatch {
+		b.watchDue = false
+		b.host.Watch()
+		return
+	}
+	r := b.requests[RequestID(token>>timerBits)]
+	if r == nil || r.closed {
+		return
+	}
+	switch token & (1<<timerBits - 1) {
+	case timerDeadline:
+		b.giveUp(r, now)
+	case timerLate:
+		b.noteLate(now, r)
+	case timerHeld:
+		if len(r.attempts) == 0 {
+			b.giveUp(r, now)
+		} else if r.out == 0 {
+			b.try(r, now)
+		}
+	}
+}
--- /dev/null
+++ b/balance/endpoint.go
@@ -0,0 +1,359 @@
+package balance
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	windowSize = 20 // completed round trips remembered per endpoint (the paper's averaged variant)
+
+	// failureHalfLife lets an endpoint that nobody draws win back its chance:
+	// about the time a process restart or a network cut lasts.
+	failureHalfLife = 5 * time.Second
+	failureMost     = 10 // bounds how long a recovered endpoint or zone waits for its share
+)
+
+// flight is an attempt that has no outcome yet.
+type flight struct {
+	id      RequestID
+	attempt int
+	sent    time.Duration
+	ratio   float64 // class ratio at the send; divides the age
+}
+
+// endpoint is what one balancer knows about one server: its list entry and
+// what the balancer's own attempts showed.
+type endpoint struct {
+	Endpoint
+	hash     uint64
+	ring     [windowSize]float64 // round trips in seconds, scaled to the mean class
+	n, next  int
+	sum      float64
+	failures failures
+	servedAt time.Duration
+	flights  []flight
+
+	tokens   float64 // cold budget: sends allowed now
+	tokensAt time.Duration
+
+	peaks     [2]int // most flights at once in this and the last idle span: connections likely open
+	peakSpan  time.Duration
+	noConnAt  time.Duration // last ConnectError
+	noConnFor time.Duration // caution after it; 0 means none
+}
+
+// open is how many connections to e are surely open: those that flights used
+// at once within the last idle span.
+func (e *endpoint) open(now, idle time.Duration) int {
+	if now-e.peakSpan >= idle/2 {
+		e.peaks[1] = e.peaks[0]
+		if now-e.peakSpan >= idle {
+			e.peaks[1] = len(e.flights)
+		}
+		e.peaks[0] = len(e.flights)
+		e.peakSpan = now
+	}
+	return max(e.peaks[0], e.peaks[1])
+}
+
+// connectable guards against a server that accepts no more connections, or is
+// cut off: after a ConnectError only open connections are used for a while.
+// A refused connection adds no time, so its mean would go on drawing requests.
+func (b *Balancer) connectable(e *endpoint, now time.Duration) bool {
+	return now-e.noConnAt >= e.noConnFor || (len(e.flights)+1) <= e.open(now, b.cfg.ConnIdle)*max(b.cfg.Multiplex, 1)
+}
+
+// noConn books a refused connection; caution doubles with each in a row. A
+// success does not end it: it may have used a connection that was open.
+func (b *Balancer) noConn(e *endpoint, now time.Duration) {
+	n := (len(e.flights) + b.cfg.Multiplex - 1) / b.cfg.Multiplex
+	e.peaks = [2]int{n, n} // none was idle, or it had been used
+	if now-e.noConnAt < e.noConnFor {
+		return // sent before the last one was known
+	}
+	if now-e.noConnAt > 2*noConnMax {
+		e.noConnFor = 0 // that was another trouble
+	}
+	e.noConnFor = min(max(2*e.noConnFor, noConnMin), noConnMax)
+	e.noConnFor += time.Duration(b.rng.Float64() * float64(e.noConnFor) / 2)
+	e.noConnAt = now
+}
+
+// Caution after a refused connection: about an idle connection's time to
+// close at first, and not so long that a returned server stays unused.
+const (
+	noConnMin = 500 * time.Millisecond
+	noConnMax = 4 * time.Second
+)
+
+// restart forgets what was measured on the process before this one.
+func (e *endpoint) restart(now time.Duration, phase float64) {
+	e.n, e.next, e.sum, e.failures = 0, 0, 0, failures{}
+	e.tokens, e.tokensAt = phase, now
+}
+
+func (e *endpoint) addSample(seconds float64) {
+	if e.n == windowSize {
+		e.sum -= e.ring[e.next]
+	} else {
+		e.n++
+	}
+	e.ring[e.next] = seconds
+	e.sum += seconds
+	e.next = (e.next + 1) % windowSize
+}
+
+// failures is a count that decays with time and is cleared by a success.
+type failures struct {
+	n  float64
+	at time.Duration
+}
+
+func (f *failures) add(now time.Duration) {
+	f.n = min(f.count(now)+1, failureMost)
+	f.at = now
+}
+
+func (f *failures) count(now time.Duration) float64 {
+	if f.n == 0 {
+		return 0
+	}
+	return f.n * math.Exp2(-float64(now-f.at)/float64(failureHalfLife))
+}
+
+// chance is what the failures leave of a weight: little, never nothing.
+func (f *failures) chance(now time.Duration) float64 {
+	n := 1 + f.count(now)
+	return 1 / (n * n)
+}
+
+// mean is t_i, 0 while nothing is known. An attempt that has been out for
+// longer than the mean counts at its age: without this a server that fell
+// silent or stalls keeps its old, good mean until the first time-out.
+func (e *endpoint) mean(now time.Duration) float64 {
+	sum, n := e.sum, float64(e.n)
+	known := 0.0
+	if n > 0 {
+		known = sum / n
+	}
+	for i := range e.flights {
+		f := &e.flights[i]
+		age := (now - f.sent).Seconds() / f.ratio
+		if e.n > 0 && age > known {
+			sum += age
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / n
+}
+
+func (e *endpoint) land(id RequestID, attempt int) {
+	for i := range e.flights {
+		if f := &e.flights[i]; f.id == id && f.attempt == attempt {
+			last := len(e.flights) - 1
+			e.flights[i] = e.flights[last]
+			e.flights = e.flights[:last]
+			return
+		}
+	}
+}
+
+// growth is the share of its full capacity that an endpoint surely has: it
+// starts at ColdShare and grows evenly over RampTime.
+func (b *Balancer) growth(e *endpoint, now time.Duration) float64 {
+	if e.Since == 0 {
+		return 1
+	}
+	age := now - e.Since
+	if age >= b.cfg.RampTime {
+		return 1
+	}
+	return b.cfg.ColdShare + (1-b.cfg.ColdShare)*float64(max(age, 0))/float64(b.cfg.RampTime)
+}
+
+// coldAllowed tells whether the cold budget of e has room for one more send,
+// having topped it up. The budget grows at the even share of this balancer's
+// own served attempts that e would get by its present capacity; attempts that
+// were turned away say nothing of what servers can take. As each balancer keeps
+// to that, all of them together load e no more than they load a warm endpoint
+// for its capacity, however many they are. It guards against pushing over a
+// server that has just started (rule 4).
+func (b *Balancer) coldAllowed(e *endpoint, now time.Duration) bool {
+	g := b.growth(e, now)
+	if g == 1 {
+		return true
+	}
+	rate := b.servedRate.perSecond(now) * g / max(b.capacity, 1)
+	e.tokens += rate * (now - e.tokensAt).Seconds()
+	e.tokensAt = now
+	e.tokens = min(e.tokens, 1+rate*b.cfg.OverloadFor.Seconds()/2)
+	return e.tokens >= 1
+}
+
+// pick draws an endpoint for r by the paper's rule, or returns -1. Each
+// candidate's weight is t_b/t_i; two are drawn with replacement and the lower
+// mean wins.
+func (b *Balancer) pick(r *request, now time.Duration) int {
+	if b.gather(r, now, subset) == 0 && b.gather(r, now, connectable) == 0 &&
+		(len(r.attempts) > 0 || b.gather(r, now, anyReady) == 0) {
+		return -1
+	}
+	first, second := b.draw(), b.draw()
+	if b.cands[second].mean < b.cands[first].mean {
+		first = second
+	}
+	return b.cands[first].index
+}
+
+// candidate is an endpoint that may take the attempt, with its chance.
+type candidate struct {
+	index    int
+	mean     float64
+	weight   float64
+	crossing float64 // what the mean is multiplied by for another zone
+}
+
+// Where gather looks, each wider than the last.
+const (
+	subset      = iota // the stable subset, less what the request has tried
+	connectable        // all but those that refuse connections
+	anyReady           // for a first attempt when every server refuses them
+)
+
+// gather fills b.cands and returns how many there are.
+func (b *Balancer) gather(r *request, now time.Duration, reach int) int {
+	b.cands = b.cands[:0]
+	b.total = 0
+	want := len(b.ready)
+	if reach == subset {
+		want = b.subsetSize(now)
+	}
+	among := min(want, b.local) + min(want, len(b.ready)-b.local)
+	best := min(b.gatherFrom(b.ready[:b.local], r, now, reach, want, among, 1),
+		b.gatherFrom(b.ready[b.local:], r, now, reach, want, among, 1+b.cfg.CrossZonePrice*crossingWeight))
+	for k := range b.cands {
+		c := &b.cands[k]
+		if c.mean == 0 {
+			c.mean = best * c.crossing // unsampled counts as t_b
+		}
+		c.weight = 1
+		if c.mean > best {
+			c.weight = best / c.mean
+		}
+		e := &b.eps[c.index]
+		c.weight *= b.growth(e, now) * e.failures.chance(now)
+		if zone := b.zoneFailures(e.Zone); zone.count(now) >= zoneSuspect {
+			c.weight *= zone.chance(now)
+		}
+		b.total += c.weight
+	}
+	return len(b.cands)
+}
+
+// subsetMin is the smallest stable subset: enough for two draws to choose well
+// with a fifth of it lost.
+const subsetMin = 10
+
+// subsetSize is how many sound endpoints this balancer draws from. A caller
+// with a thin stream beside a large fleet would open a connection to every
+// server, use each too seldom to keep it and know each too little. It draws
+// from a stretch of the ring of endpoints that is its own, as long as its
+// attempts out at once, so that each carries about one; a burst widens it.
+func (b *Balancer) subsetSize(now time.Duration) int {
+	w := math.Exp(-float64(now-b.outAt) / float64(rateSpan))
+	b.outMean = b.outMean*w + float64(b.outTotal)*(1-w)
+	b.outAt = now
+	return max(subsetMin, int(math.Ceil(max(b.outMean, float64(b.outTotal)))))
+}
+
+// zoneSuspect failures in a row from one zone, over all its endpoints, are no
+// longer single servers.
+const zoneSuspect = 3
+
+// zoneFailures counts what failed in a zone since anything there was served.
+// It guards against a zone that is cut off: each of its endpoints would have
+// to fail by itself before the draws leave it.
+func (b *Balancer) zoneFailures(zone int) *failures {
+	for zone >= len(b.zones) {
+		b.zones = append(b.zones, failures{})
+	}
+	return &b.zones[zone]
+}
+
+// crowding guards against herding: attempts sent since an endpoint's last
+// round trip show in no mean yet. Where more of ours are out at e than at the
+// average endpoint of the subset, its mean grows by that ratio; elsewhere it is 1.
+func (b *Balancer) crowding(e *endpoint, among int) float64 {
+	even := float64(b.outTotal) / float64(among)
+	return max(1, (1+float64(len(e.flights)))/(1+even))
+}
+
+// crossingWeight turns the price of a crossing into time: at one point in a
+// hundred an endpoint of another zone reads twice as slow. It acts only where
+// crossings are priced; a crowded or slow own zone still spills over.
+const crossingWeight = 100
+
+// gatherFrom adds the candidates of one part of the ring, from this balancer's
+// place on, until it holds want sound endpoints. It returns the lowest mean.
+func (b *Balancer) gatherFrom(ring []int, r *request, now time.Duration, reach, want, among int, crossing float64) float64 {
+	best := math.Inf(1)
+	start := b.cfg.Index * len(ring) / b.cfg.Instances
+	for k := 0; k < len(ring) && want > 0; k++ {
+		i := ring[(start+k)%len(ring)]
+		e := &b.eps[i]
+		zone := b.zoneFailures(e.Zone)
+		if e.failures.count(now) < 1 && zone.count(now) < zoneSuspect {
+			want--
+		}
+		if reach == subset && r.tried(i) || reach < anyReady && !b.connectable(e, now) || !b.maySend(r, i, now) {
+			continue
+		}
+		m := e.mean(now) * b.crowding(e, among) * crossing
+		if m > 0 {
+			best = min(best, m)
+		}
+		b.cands = append(b.cands, candidate{index: i, mean: m, crossing: crossing})
+	}
+	return best
+}
+
+func (b *Balancer) draw() int {
+	x := b.rng.Float64() * b.total
+	for k := range b.cands {
+		if x -= b.cands[k].weight; x < 0 {
+			return k
+		}
+	}
+	return len(b.cands) - 1
+}
+
+// rate is a decaying count of events per second.
+type rate struct {
+	count float64
+	start time.Duration
+	at    time.Duration
+}
+
+const rateSpan = 4 * time.Second // long enough to average a bursty second, short enough to follow a surge
+
+func (r *rate) add(now time.Duration) {
+	r.decay(now)
+	r.count++
+}
+
+func (r *rate) decay(now time.Duration) {
+	if now > r.at {
+		r.count *= math.Exp(-float64(now-r.at) / float64(rateSpan))
+		r.at = now
+	}
+}
+
+// perSecond is a low estimate in the first seconds of a fresh instance.
+func (r *rate) perSecond(now time.Duration) float64 {
+	r.decay(now)
+	return r.count / rateSpan.Seconds()
+}
--- /dev/null
+++ b/balance/world_test.go
@@ -0,0 +1,86 @@
+package balance
+
+import (
+	"testing"
+	"time"
+)
+
+// Everything fails for a while; the balancer recovers without a restart.
+func TestRecoversAfterEverythingFailed(t *testing.T) {
+	cfg := testConfig()
+	cfg.Entry = true
+	b, h := newTest(t, cfg, "a", "b", "c")
+	id := RequestID(0)
+	run := func(from, to time.Duration, result Result) (served, asked int) {
+		for now := from; now < to; now += 10 * ms {
+			id++
+			asked++
+			n := len(h.sends)
+			b.Request(now, id, 0, 0, 200*ms)
+			for k := 0; n < len(h.sends); k, n = k+1, n+1 {
+				b.Outcome(now, id, k, result, 5*ms, result == OK)
+				if result == OK {
+					served++
+				}
+			}
+			b.Timer(now+200*ms, uint64(id)<<timerBits|timerDeadline)
+		}
+		return served, asked
+	}
+	for _, result := range []Result{Error, Timeout, Overloaded, ConnectError, Reset} {
+		start := time.Duration(id) * time.Second
+		run(start, start+10*time.Second, result)
+		run(start+10*time.Second, start+20*time.Second, OK)
+		served, asked := run(start+20*time.Second, start+25*time.Second, OK)
+		if served < asked*9/10 {
+			t.Errorf("after result %d everywhere: served %d of %d ten seconds later", result, served, asked)
+		}
+	}
+	if len(b.requests) != 0 {
+		t.Errorf("%d requests left open", len(b.requests))
+	}
+}
+
+// A clock that jumps hours ahead and an empty list leave no request without an
+// answer, and the next list is used.
+func TestClockJumpAndEmptyList(t *testing.T) {
+	b, h := newTest(t, testConfig(), "a")
+	b.Request(0, 1, 0, 0, time.Second)
+	later := 30 * time.Hour
+	b.Timer(later, 1<<timerBits|timerDeadline)
+	b.Outcome(later, 1, 0, Timeout, later, false)
+	b.Members(later, Full, nil)
+	b.Request(later, 2, 0, 0, time.Second)
+	b.Timer(later+time.Second, 2<<timerBits|timerDeadline)
+	if len(h.refused)+len(h.failed) != 2 {
+		t.Fatalf("answers: %d refused, %d failed, want 2 in all", len(h.refused), len(h.failed))
+	}
+	b.Members(later, Full, []Endpoint{{Addr: "a", State: Ready}})
+	n := len(h.sends)
+	b.Request(later+2*time.Second, 3, 0, 0, time.Second)
+	if len(h.sends) != n+1 {
+		t.Error("no send after the list came back")
+	}
+}
+
+// What an embedding sidecar may get wrong does no harm.
+func TestEventsOutOfPlaceAreIgnored(t *testing.T) {
+	b, h := newTest(t, testConfig(), "a")
+	b.Outcome(0, 9, 0, OK, ms, true)
+	b.Withdrawn(0, 9)
+	b.Timer(0, 9<<timerBits|timerDeadline)
+	b.Timer(0, 9<<timerBits|timerLate)
+	b.Request(0, 1, 99, 0, time.Second)
+	b.Request(0, 1, -1, 0, time.Second)
+	if len(h.sends)+len(h.refused)+len(h.failed) != 0 {
+		t.Error("acted on an unknown request or class")
+	}
+	b.Request(0, 1, 0, -5, time.Second)
+	b.Request(0, 1, 0, 0, time.Second) // the id again
+	b.Outcome(ms, 1, 7, OK, ms, true)
+	b.Outcome(ms, 1, 0, OK, ms, true)
+	b.Outcome(ms, 1, 0, Error, ms, false)
+	if len(h.sends) != 1 || len(b.requests) != 0 || b.outTotal != 0 {
+		t.Errorf("%d sends, %d open, %d out, want 1, 0, 0", len(h.sends), len(b.requests), b.outTotal)
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,190 @@
+// Package config reads what the deployment tells a sidecar at its start.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"oatgw/balance"
+	"oatgw/internal/discovery"
+	"oatgw/internal/wire"
+)
+
+// Config is what one sidecar is told.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Limits    Limits
+	Known     discovery.List // the endpoints as last known, maybe outdated
+
+	Tier        int
+	Balance     balance.Config
+	Classes     map[string]int // by the first part of the path
+	Tenants     map[string]int
+	Zones       map[string]int
+	DialTimeout time.Duration // a connection that is not up within it never will be
+}
+
+// Limits are the bounds that the deployment enforces.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// file is the form of the configuration file.
+type file struct {
+	Name      string                     `json:"name"`
+	Listen    string                     `json:"listen"`
+	Discovery string                     `json:"discovery"`
+	Seed      string                     `json:"seed"`
+	Limits    Limits                     `json:"limits"`
+	Known     json.RawMessage            `json:"known"`
+	Settings  map[string]json.RawMessage `json:"settings"`
+}
+
+// Load reads the configuration file at path. Every error names its key.
+func Load(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Parse reads the text of a configuration file.
+func Parse(text []byte) (*Config, error) {
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, err
+	}
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits}
+	var err error
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %q, want a hexadecimal number of 64 bits", f.Seed)
+	}
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	if len(f.Known) > 0 {
+		if c.Known, err = discovery.Decode(f.Known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	if f.Settings == nil {
+		return nil, errors.New("settings: missing")
+	}
+	return c, c.settings(f.Settings)
+}
+
+func (c *Config) check() error {
+	switch {
+	case c.Name == "":
+		return errors.New("name: missing")
+	case c.Limits.Cores <= 0:
+		return fmt.Errorf("limits.cores: %v, want more than 0", c.Limits.Cores)
+	case c.Limits.MemoryMB <= 0:
+		return fmt.Errorf("limits.memory_mb: %v, want more than 0", c.Limits.MemoryMB)
+	case c.Limits.Sockets <= 0:
+		return fmt.Errorf("limits.sockets: %v, want more than 0", c.Limits.Sockets)
+	}
+	for key, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, err := netip.ParseAddrPort(addr); err != nil {
+			return fmt.Errorf("%s: %q, want address:port", key, addr)
+		}
+	}
+	return nil
+}
+
+// settings reads the settings, which have the names of the simulator's wire.
+func (c *Config) settings(tree map[string]json.RawMessage) error {
+	values := map[string]string{}
+	for key, value := range tree {
+		if err := flatten(values, key, value); err != nil {
+			return err
+		}
+	}
+	s := wire.NewSettings(values)
+	c.Balance = s.Balance()
+	c.Tier = s.Integer("Tier")
+	c.DialTimeout = s.Time("Limits.ConnectTimeoutS")
+	c.Classes = names(s, "RequestClasses", ".Name")
+	c.Tenants = names(s, "Tenants", ".Name")
+	c.Zones = names(s, "Zones", "")
+	for _, path := range []string{"Me", "NInstances", "Zone", "Tier", "Limits.ConnectTimeoutS", "Limits.ConnIdleS", "RequestClasses.count", "Zones.count"} {
+		if _, ok := values[path]; !ok {
+			s.Fail(path, "a value")
+		}
+	}
+	if c.DialTimeout <= 0 {
+		s.Fail("Limits.ConnectTimeoutS", "more than 0")
+	}
+	if c.Balance.ConnIdle <= 0 {
+		s.Fail("Limits.ConnIdleS", "more than 0")
+	}
+	return s.Err()
+}
+
+// names reads the position of each name in a list of the settings.
+func names(s *wire.Settings, list, field string) map[string]int {
+	all := map[string]int{}
+	for i := range s.Integer(list + ".count") {
+		path := list + "." + strconv.Itoa(i) + field
+		name := s.Text(path)
+		if name == "" {
+			s.Fail(path, "a name")
+		}
+		all[name] = i
+	}
+	return all
+}
+
+// flatten adds the settings below path in the form of the wire: a list gives
+// its length under .count and its items under .0, .1 and so on.
+func flatten(values map[string]string, path string, text json.RawMessage) error {
+	switch text[0] {
+	case '{':
+		var object map[string]json.RawMessage
+		if err := json.Unmarshal(text, &object); err != nil {
+			return fmt.Errorf("settings.%s: %w", path, err)
+		}
+		for key, value := range object {
+			if err := flatten(values, path+"."+key, value); err != nil {
+				return err
+			}
+		}
+	case '[':
+		var list []json.RawMessage
+		if err := json.Unmarshal(text, &list); err != nil {
+			return fmt.Errorf("settings.%s: %w", path, err)
+		}
+		values[path+".count"] = strconv.Itoa(len(list))
+		for i, value := range list {
+			if err := flatten(values, path+"."+strconv.Itoa(i), value); err != nil {
+				return err
+			}
+		}
+	case '"':
+		var s string
+		if err := json.Unmarshal(text, &s); err != nil {
+			return fmt.Errorf("settings.%s: %w", path, err)
+		}
+		values[path] = s
+	case 'n': // null: as if missing
+	default:
+		values[path] = strings.TrimSpace(string(text))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,208 @@
+// Package upstream carries attempts to endpoints: one attempt in, one result
+// out. It owns the connections.
+//
+// It does not use http.Transport, which sends some requests again by itself,
+// dials more than it is asked to and hides whether the last byte of a request
+// went out; whether an attempt may have run hangs on that.
+package upstream
+
+import (
+	"container/list"
+	"sync"
+	"time"
+)
+
+// Config holds the settings of a Pool.
+type Config struct {
+	DialTimeout time.Duration
+	ConnIdle    time.Duration // endpoints close what has been idle for longer
+	MaxConns    int           // connections at most, to all endpoints
+}
+
+// Target is where an endpoint is reached.
+type Target struct {
+	Address string
+	Since   int64 // start of its process; a change makes old connections useless
+}
+
+// Pool holds the connections to all endpoints. Each carries one request at a
+// time; the one used last is used first, so that those not needed go idle.
+type Pool struct {
+	cfg Config
+
+	mu      sync.Mutex
+	targets map[string]*target
+	idle    list.List // of *conn, the one idle longest in front
+	open    int       // connections dialled or being dialled
+	closed  bool
+}
+
+// target is an endpoint in one life of its process at one address.
+type target struct {
+	Target
+	idle []*conn // the one used last at the end
+	gone bool    // replaced or no longer listed: its connections are not kept
+}
+
+// New returns an empty Pool.
+func New(cfg Config) *Pool {
+	return &Pool{cfg: cfg, targets: map[string]*target{}}
+}
+
+// Set makes name known under t. If it was known otherwise, the connections to
+// what it was are closed: they lead to a dead process or a former address.
+func (p *Pool) Set(name string, t Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old := p.targets[name]; old != nil {
+		if old.Target == t {
+			return
+		}
+		p.retire(old)
+	}
+	p.targets[name] = &target{Target: t}
+}
+
+// Remove forgets name and closes its idle connections.
+func (p *Pool) Remove(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old := p.targets[name]; old != nil {
+		p.retire(old)
+		delete(p.targets, name)
+	}
+}
+
+// Keep removes all but the names in keep.
+func (p *Pool) Keep(keep map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, t := range p.targets {
+		if !keep[name] {
+			p.retire(t)
+			delete(p.targets, name)
+		}
+	}
+}
+
+func (p *Pool) retire(t *target) {
+	t.gone = true
+	for len(t.idle) > 0 {
+		p.drop(t.idle[len(t.idle)-1])
+	}
+}
+
+// Open is the number of connections, those being dialled included.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+// idleMargin is the part of the endpoints' idle limit after which a connection
+// is no longer used: a request that meets an endpoint closing it would be a
+// reset, which an unsafe request does not survive.
+const idleMargin = 0.8
+
+func (p *Pool) idleLimit() time.Duration {
+	return time.Duration(float64(p.cfg.ConnIdle) * idleMargin)
+}
+
+// Sweep closes the connections that have been idle for too long.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sweep(now)
+}
+
+func (p *Pool) sweep(now time.Time) {
+	for e := p.idle.Front(); e != nil; e = p.idle.Front() {
+		c := e.Value.(*conn)
+		if now.Sub(c.idleSince) < p.idleLimit() {
+			return
+		}
+		p.drop(c)
+	}
+}
+
+// drop closes an idle connection.
+func (p *Pool) drop(c *conn) {
+	for i := len(c.target.idle) - 1; i >= 0; i-- {
+		if c.target.idle[i] == c {
+			c.target.idle = append(c.target.idle[:i], c.target.idle[i+1:]...)
+			break
+		}
+	}
+	p.idle.Remove(c.place)
+	p.open--
+	c.Close()
+}
+
+// take returns an idle connection to name that still stands, or nil and the
+// target to dial, having made room for one more connection. Both are nil if
+// there is no such endpoint or no room.
+func (p *Pool) take(name string) (*conn, *target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.targets[name]
+	if t == nil {
+		return nil, nil
+	}
+	p.sweep(time.Now())
+	for len(t.idle) > 0 {
+		c := t.idle[len(t.idle)-1]
+		if !c.quiet() {
+			p.drop(c)
+			continue
+		}
+		t.idle = t.idle[:len(t.idle)-1]
+		p.idle.Remove(c.place)
+		return c, t
+	}
+	if p.open >= p.cfg.MaxConns {
+		oldest := p.idle.Front()
+		if oldest == nil {
+			return nil, nil
+		}
+		p.drop(oldest.Value.(*conn))
+	}
+	p.open++
+	return nil, t
+}
+
+// give takes a connection back for further use.
+func (p *Pool) give(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.target.gone || p.closed {
+		p.open--
+		c.Close()
+		return
+	}
+	c.idleSince = time.Now()
+	c.place = p.idle.PushBack(c)
+	c.target.idle = append(c.target.idle, c)
+}
+
+// lose closes a connection that cannot be used again.
+func (p *Pool) lose(c *conn) {
+	c.Close()
+	p.forget()
+}
+
+// forget books that a connection, or the dialling of one, has ended.
+func (p *Pool) forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
+// Close closes the idle connections; those in use close when they are done.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for e := p.idle.Front(); e != nil; e = p.idle.Front() {
+		p.drop(e.Value.(*conn))
+	}
+}
