Reload: take SIGHUP and follow discovery to its new address

Cause: no handler for SIGHUP, so a reload ended the process (exit 129) and lost what it held. Ruled out: the list handling, which never got a new address.

The old service is followed until the new one has told its whole list, then its watch ends; a configuration that cannot be read changes nothing.

--- a/cmd/oatgw/main.go
+++ b/cmd/oatgw/main.go
@@ -25,7 +25,10 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := run(ctx, os.Getenv("ROUTER_CONFIG")); err != nil {
+	// Taken from the first moment on: the default of SIGHUP is to end the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	if err := run(ctx, os.Getenv("ROUTER_CONFIG"), reload); err != nil {
 		fmt.Fprintln(os.Stderr, "oatgw:", err)
 		os.Exit(1)
 	}
@@ -59,7 +62,8 @@
 )
 
 // run serves until ctx ends, and then until all that was taken is answered.
-func run(ctx context.Context, path string) error {
+// Each reload reads the file at path again.
+func run(ctx context.Context, path string, reload <-chan os.Signal) error {
 	if path == "" {
 		return errors.New("ROUTER_CONFIG: missing")
 	}
@@ -100,15 +104,32 @@
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(callers) }()
 	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "tier", cfg.Tier)
-	select {
-	case err := <-served:
-		return fmt.Errorf("serve: %w", err)
-	case <-ctx.Done():
+	for ctx.Err() == nil {
+		select {
+		case err := <-served:
+			return fmt.Errorf("serve: %w", err)
+		case <-reload:
+			reread(path, s)
+		case <-ctx.Done():
+		}
 	}
 	s.Drain()
 	return drain(srv, longest(cfg))
 }
 
+// reread takes up what a new configuration says of discovery. One that cannot
+// be read changes nothing: a sidecar that serves by the old one is worth more
+// than none. The rest holds for the life of the process.
+func reread(path string, s *sidecar.Sidecar) {
+	cfg, err := config.Load(path)
+	if err != nil {
+		slog.Error("reload: the old configuration stands", "error", err)
+		return
+	}
+	slog.Info("reload", "discovery", cfg.Discovery)
+	s.Move(cfg.Discovery)
+}
+
 // drain ends srv once all that it has taken is answered, and before the kill.
 func drain(srv *http.Server, deadline time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+killTime-killMargin)
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -55,6 +55,9 @@
 	}
 }
 
+// Close lets go of the connection that waits for the next call.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
 // Follow hands each answer to update, the whole list first, then what changes,
 // until a call fails or ctx ends; it returns why. A Client that is followed
 // again goes on from where it was.
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -18,22 +18,82 @@
 	backoffMax = time.Second
 )
 
+// source is one discovery service that is being followed.
+type source struct {
+	addr   string
+	number int           // later ones are higher
+	watch  chan struct{} // the Balancer wants a watch
+	cancel context.CancelFunc
+}
+
+// Move names the discovery service to follow from now on. The old one is
+// followed until the new one has told its whole list, so that nothing goes
+// untold in between; it guards as well against a new address that is dead or
+// slow, as the old service then goes on telling for as long as it can.
+func (s *Sidecar) Move(addr string) {
+	select {
+	case <-s.moves: // a newer address replaces one not yet heeded
+	default:
+	}
+	s.moves <- addr
+}
+
 // Follow keeps the list of endpoints up to date until ctx ends.
 func (s *Sidecar) Follow(ctx context.Context) {
+	s.follow(ctx, s.cfg.Discovery)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case addr := <-s.moves:
+			s.follow(ctx, addr)
+		}
+	}
+}
+
+// follow starts to follow addr, unless that is what was last named.
+func (s *Sidecar) follow(ctx context.Context, addr string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	number := 1
+	if n := len(s.sources); n > 0 {
+		last := s.sources[n-1]
+		if last.addr == addr {
+			return
+		}
+		number = last.number + 1
+		if n > 1 {
+			// It was to take over and has told nothing yet.
+			last.cancel()
+			s.sources = s.sources[:n-1]
+		}
+		slog.Info("discovery moves", "from", last.addr, "to", addr)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	src := &source{addr: addr, number: number, watch: make(chan struct{}, 1), cancel: cancel}
+	s.sources = append(s.sources, src)
 	if s.cfg.Balance.AskDiscovery {
-		s.followAsked(ctx)
-		return
+		if number > 1 || s.wanted {
+			src.watch <- struct{}{} // the Balancer's wish was for the service before
+		}
+		go s.followAsked(ctx, src)
+	} else {
+		go s.followPushed(ctx, src)
 	}
-	client := discovery.NewClient(s.cfg.Discovery, discovery.PushWait)
+}
+
+func (s *Sidecar) followPushed(ctx context.Context, src *source) {
+	client := discovery.NewClient(src.addr, discovery.PushWait)
+	defer client.Close()
 	for fails := 0; ctx.Err() == nil; fails++ {
 		err := client.Follow(ctx, func(l discovery.List) {
 			fails = 0
-			s.told(l)
+			s.told(src, l)
 		})
 		if ctx.Err() != nil {
 			return
 		}
-		slog.Warn("list not to be had", "error", err)
+		slog.Warn("list not to be had", "discovery", src.addr, "error", err)
 		delay := min(backoffMin<<min(fails, 8), backoffMax)
 		select {
 		case <-ctx.Done():
@@ -44,25 +104,41 @@
 
 // followAsked watches when the Balancer wants it and tells it of failures: one
 // discovery answers all sidecars, so when to ask again is a decision.
-func (s *Sidecar) followAsked(ctx context.Context) {
-	client := discovery.NewClient(s.cfg.Discovery, discovery.AskWait)
+func (s *Sidecar) followAsked(ctx context.Context, src *source) {
+	client := discovery.NewClient(src.addr, discovery.AskWait)
+	defer client.Close()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.watches:
+		case <-src.watch:
 		}
-		err := client.Follow(ctx, s.told)
+		err := client.Follow(ctx, func(l discovery.List) { s.told(src, l) })
 		if ctx.Err() != nil {
 			return
 		}
-		slog.Warn("watch ended", "error", err)
-		s.update(balance.Failed, nil)
+		slog.Warn("watch ended", "discovery", src.addr, "error", err)
+		s.mu.Lock()
+		if s.sources[len(s.sources)-1] == src {
+			s.update(balance.Failed, nil)
+		}
+		s.mu.Unlock()
 	}
 }
 
-// told takes an answer of discovery.
-func (s *Sidecar) told(l discovery.List) {
+// told takes an answer of a discovery service. The first one of a new service
+// is its whole list and ends the service before, whose changes cannot be
+// applied to that list.
+func (s *Sidecar) told(src *source, l discovery.List) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.sources[0].number < src.number {
+		s.sources[0].cancel()
+		s.sources = s.sources[1:]
+	}
+	if s.sources[0] != src {
+		return // a late word of a service that has been replaced
+	}
 	kind := balance.Delta
 	if l.Snapshot {
 		kind = balance.Full
@@ -70,10 +146,9 @@
 	s.update(kind, l.Endpoints)
 }
 
-// update takes a list, or the news that asking for one failed.
+// update takes a list, or the news that asking for one failed; the mutex is
+// held.
 func (s *Sidecar) update(kind balance.ListKind, list []discovery.Endpoint) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	entries := make([]balance.Endpoint, 0, len(list))
 	for i := range list {
 		entries = append(entries, s.entry(&list[i]))
--- /dev/null
+++ b/internal/sidecar/members_test.go
@@ -0,0 +1,112 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	"oatgw/balance"
+	"oatgw/internal/config"
+	"oatgw/internal/upstream"
+)
+
+// patience bounds every wait of these tests; a sound run needs far less.
+const patience = 20 * time.Second
+
+func testConfig() *config.Config {
+	return &config.Config{
+		Name:    "n0",
+		Limits:  config.Limits{Cores: 1, MemoryMB: 64, Sockets: 256},
+		Classes: map[string]int{"view": 0, "pay": 1},
+		Zones:   map[string]int{"a": 0},
+		Balance: balance.Config{
+			Instances: 1, AttemptLimit: 3, Multiplex: 1, ConnIdle: 5 * time.Second, RampTime: 5 * time.Second,
+			Classes: []balance.Class{
+				{Deadline: 2 * time.Second, Semantics: balance.Safe, Worth: 1},
+				{Deadline: 2 * time.Second, Semantics: balance.Unsafe, Worth: 1},
+			},
+		},
+		DialTimeout: time.Second,
+	}
+}
+
+func newSidecar(t *testing.T, cfg *config.Config) *Sidecar {
+	t.Helper()
+	pool := upstream.New(upstream.Config{DialTimeout: cfg.DialTimeout, ConnIdle: cfg.Balance.ConnIdle, MaxConns: 32})
+	t.Cleanup(pool.Close)
+	s, err := New(cfg, pool)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+const listed = `{"index":%d,"snapshot":%t,"endpoints":[{"name":%q,"address":"127.0.0.1:1","zone":"a","group":0,"status":"in_service","since_ms":0}]}`
+
+// The old discovery service is heeded until the new one has told its list, and
+// no longer: its endpoints go, and so does its watch.
+func TestMoveLeavesNoGap(t *testing.T) {
+	changes := make(chan string)
+	ended := make(chan struct{})
+	old := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !r.URL.Query().Has("after") {
+			fmt.Fprintf(w, listed, 40, true, "old-1")
+			return
+		}
+		select {
+		case name := <-changes:
+			fmt.Fprintf(w, listed, 41, false, name)
+		case <-r.Context().Done():
+			close(ended)
+		case <-time.After(patience):
+		}
+	}))
+	defer old.Close()
+	tell := make(chan struct{})
+	next := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("after") {
+			<-r.Context().Done()
+			return
+		}
+		select {
+		case <-tell:
+			fmt.Fprintf(w, listed, 3, true, "new-1")
+		case <-r.Context().Done():
+		}
+	}))
+	defer next.Close()
+
+	cfg := testConfig()
+	cfg.Discovery = old.Listener.Addr().String()
+	s := newSidecar(t, cfg)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.Follow(ctx)
+	knows := func(want ...string) func() bool {
+		return func() bool { return slices.Equal(s.pool.Names(), want) }
+	}
+	eventually(t, "the first list", knows("old-1"))
+	s.Move(next.Listener.Addr().String())
+	changes <- "old-2"
+	eventually(t, "a change told by the old service after the move", knows("old-1", "old-2"))
+	close(tell)
+	eventually(t, "the list made whole from the new service", knows("new-1"))
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		t.Fatal("the old watch did not end")
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -23,7 +23,7 @@
 	bodies bodyBudget
 	stats  stats
 
-	watches  chan struct{} // the Balancer wants a watch
+	moves    chan string // discovery services to follow from now on
 	draining atomic.Bool
 
 	mu       sync.Mutex // guards what follows and all in a request that says so
@@ -31,6 +31,8 @@
 	requests map[balance.RequestID]*request // those that are owed an answer
 	lastID   balance.RequestID
 	listed   bool
+	wanted   bool      // a watch was wanted before there was a source
+	sources  []*source // discovery followed: the one that tells and, after Move, the one to take over
 }
 
 // request is a request that the Balancer has been given.
@@ -57,7 +59,7 @@
 		cfg:      cfg,
 		pool:     pool,
 		start:    time.Now(),
-		watches:  make(chan struct{}, 1),
+		moves:    make(chan string, 1),
 		requests: map[balance.RequestID]*request{},
 	}
 	s.bodies.left.Store(int64(cfg.Limits.MemoryMB) << 20 / bodyShare)
@@ -65,6 +67,8 @@
 	if s.balancer, err = balance.New(cfg.Balance, cfg.Seed, (*host)(s)); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.update(balance.Cached, cfg.Known.Endpoints)
 	return s, nil
 }
@@ -196,8 +200,11 @@
 
 // Watch implements balance.Host.
 func (h *host) Watch() {
-	select {
-	case h.watches <- struct{}{}:
-	default: // one is wanted already
+	h.wanted = len(h.sources) == 0 // Follow has not begun
+	for _, src := range h.sources {
+		select {
+		case src.watch <- struct{}{}:
+		default: // one is wanted already
+		}
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -8,6 +8,8 @@
 
 import (
 	"container/list"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -92,6 +94,13 @@
 	}
 }
 
+// Names are the endpoints that can be sent to, sorted.
+func (p *Pool) Names() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(maps.Keys(p.targets))
+}
+
 // Open is the number of connections, those being dialled included.
 func (p *Pool) Open() int {
 	p.mu.Lock()
