--- a/cmd/oatgw/main.go
+++ b/cmd/oatgw/main.go
@@ -9,7 +9,6 @@
 	"log/slog"
 	"math"
 	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"runtime"
@@ -44,21 +43,19 @@
 	// the log, the listener, discovery, the runtime's poller.
 	ownDescriptors = 32
 
-	// headTime is what a caller gets for a request's head; slow ones need 2 s.
-	headTime = 10 * time.Second
-	// idleTime is how long a caller's connection may stand idle.
-	idleTime = 2 * time.Minute
-
-	maxHead = 64 << 10
-
-	// comingTime is how long after SIGTERM the listener stays open: new
-	// connections go on coming for 0.4 s, and closing it would break those
-	// that wait to be accepted.
+	// comingTime is how long after SIGTERM all goes on as before at the least:
+	// new connections go on coming for 0.4 s.
 	comingTime = 600 * time.Millisecond
+	// windDown is what the last requests get. Until it begins connections stay
+	// as they are, since their callers may have nowhere else to go yet; most
+	// answers come well within it.
+	windDown = 1500 * time.Millisecond
 	// killMargin is how long before SIGKILL could come the process is gone,
 	// of the 0.7 s that it has beyond the longest deadline.
 	killMargin = 200 * time.Millisecond
 	killTime   = 700 * time.Millisecond
+	// answerMargin is what the very last answers have to be written.
+	answerMargin = 50 * time.Millisecond
 )
 
 // run serves until ctx ends, and then until all that was taken is answered.
@@ -88,21 +85,14 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	callers := sidecar.NewCallers(l, conns/2)
-	srv := &http.Server{
-		Handler:           s,
-		ConnState:         callers.State,
-		ReadHeaderTimeout: headTime,
-		IdleTimeout:       idleTime,
-		MaxHeaderBytes:    maxHead,
-		ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
-	}
+	defer l.Close()
+	callers := sidecar.NewCallers(s, conns/2)
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go s.Follow(work)
 	go s.Report(work, time.Second)
 	served := make(chan error, 1)
-	go func() { served <- srv.Serve(callers) }()
+	go func() { served <- callers.Serve(l) }()
 	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "tier", cfg.Tier)
 	for ctx.Err() == nil {
 		select {
@@ -114,7 +104,8 @@
 		}
 	}
 	s.Drain()
-	return drain(srv, longest(cfg))
+	drain(callers, cfg.LongestDeadline())
+	return nil
 }
 
 // reread takes up what a new configuration says of discovery. One that cannot
@@ -130,25 +121,12 @@
 	s.Move(cfg.Discovery)
 }
 
-// drain ends srv once all that it has taken is answered, and before the kill.
-func drain(srv *http.Server, deadline time.Duration) error {
-	ctx, cancel := context.WithTimeout(context.Background(), deadline+killTime-killMargin)
-	defer cancel()
+// drain serves on until all that was taken is answered, and ends before the
+// kill could come.
+func drain(callers *sidecar.Callers, deadline time.Duration) {
 	slog.Info("draining")
-	srv.SetKeepAlivesEnabled(false) // answers say Connection: close; idle connections end
-	time.Sleep(comingTime)
-	if err := srv.Shutdown(ctx); err != nil {
-		slog.Warn("cut off what was under way", "error", err)
-		srv.Close()
-	}
-	return nil
-}
-
-// longest is the longest deadline of any class.
-func longest(cfg *config.Config) time.Duration {
-	var d time.Duration
-	for _, c := range cfg.Balance.Classes {
-		d = max(d, c.Deadline)
-	}
-	return d
+	last := time.Now().Add(max(deadline+killTime-killMargin, comingTime))
+	callers.Bound(last.Add(-answerMargin))
+	time.Sleep(max(comingTime, time.Until(last)-windDown))
+	callers.Drain(last)
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,6 +33,15 @@
 	DialTimeout time.Duration // a connection that is not up within it never will be
 }
 
+// LongestDeadline is the longest time that any request is owed an answer in.
+func (c *Config) LongestDeadline() time.Duration {
+	var d time.Duration
+	for i := range c.Balance.Classes {
+		d = max(d, c.Balance.Classes[i].Deadline)
+	}
+	return d
+}
+
 // Limits are the bounds that the deployment enforces.
 type Limits struct {
 	Cores    float64 `json:"cores"`
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -30,7 +30,7 @@
 	// 200 ms after which a watch counts as ended.
 	pace = 50 * time.Millisecond
 
-	maxAnswer = 16 << 20 // bytes of an answer; some thousand endpoints have under 1 MiB
+	maxAnswer = 2 << 20 // bytes of an answer: some thousand endpoints have under 1 MiB, and 32 MB is all there may be
 )
 
 // Client follows the endpoint list of one discovery service.
--- /dev/null
+++ b/internal/discovery/client_test.go
@@ -0,0 +1,96 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+const patience = 20 * time.Second
+
+const entry = `{"name":"s-1","address":"127.0.0.1:1","zone":"a","group":0,"status":"in_service","since_ms":0}`
+
+// follow runs a Client against the handler until it has n lists.
+func follow(t *testing.T, n int, h http.HandlerFunc) (lists []List, err error) {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	c := NewClient(srv.Listener.Addr().String(), time.Second)
+	defer c.Close()
+	err = c.Follow(ctx, func(l List) {
+		if lists = append(lists, l); len(lists) == n {
+			cancel()
+		}
+	})
+	return lists, err
+}
+
+// The first call asks for everything, the next ones from there on, and an
+// index that runs back makes the list whole again.
+func TestFollow(t *testing.T) {
+	var asked []string
+	lists, _ := follow(t, 3, func(w http.ResponseWriter, r *http.Request) {
+		asked = append(asked, r.URL.RawQuery)
+		index, snapshot := 40+len(asked), len(asked) == 1
+		if len(asked) > 2 {
+			index = 5 // it has restarted
+		}
+		fmt.Fprintf(w, `{"index":%d,"snapshot":%t,"endpoints":[%s]}`, index, snapshot, entry)
+	})
+	if len(lists) != 3 || !lists[0].Snapshot || lists[1].Snapshot || !lists[2].Snapshot || lists[2].Index != 5 {
+		t.Fatalf("lists %+v", lists)
+	}
+	if asked[0] != "" || !strings.HasPrefix(asked[1], "after=41&") || asked[3] != "" {
+		t.Errorf("asked %q", asked)
+	}
+}
+
+// An answer that cannot be used is an error, and nothing of it is told.
+func TestBadAnswers(t *testing.T) {
+	for name, h := range map[string]http.HandlerFunc{
+		"status":  func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(503) },
+		"no JSON": func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "noise") },
+		"half":    func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, `{"index":4,"snapshot":true,"endpoi`) },
+		"endless": func(w http.ResponseWriter, r *http.Request) {
+			for r.Context().Err() == nil {
+				if _, err := io.WriteString(w, strings.Repeat(" ", 1<<16)); err != nil {
+					return
+				}
+			}
+		},
+	} {
+		if lists, err := follow(t, 1, h); err == nil || len(lists) > 0 {
+			t.Errorf("%s: %d lists, error %v", name, len(lists), err)
+		}
+	}
+}
+
+func TestDecode(t *testing.T) {
+	list := func(e string) string { return `{"index":1,"snapshot":true,"endpoints":[` + e + `]}` }
+	for _, c := range []struct {
+		text string
+		ok   bool
+	}{
+		{list(entry), true},
+		{list(""), true},
+		{`{"snapshot":true,"endpoints":[]}`, false},
+		{`{"index":1,"snapshot":true}`, false},
+		{`{"index":-1,"endpoints":[]}`, false},
+		{list(strings.Replace(entry, "s-1", "", 1)), false},
+		{list(strings.Replace(entry, "127.0.0.1:1", "nowhere", 1)), false},
+		{list(strings.Replace(entry, "in_service", "unheard", 1)), false},
+		{list(strings.Replace(entry, `"since_ms":0`, `"since_ms":-1`, 1)), false},
+		{list(strings.Replace(strings.Replace(entry, "127.0.0.1:1", "", 1), "in_service", "terminated", 1)), true},
+	} {
+		if _, err := Decode([]byte(c.text)); (err == nil) != c.ok {
+			t.Errorf("%s: %v, want ok %t", c.text, err, c.ok)
+		}
+	}
+}
--- a/internal/sidecar/answer.go
+++ b/internal/sidecar/answer.go
@@ -1,70 +1,44 @@
 package sidecar
 
 import (
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"oatgw/internal/upstream"
 )
 
-// answer is what a client is given.
+// answer is what a caller is given.
 type answer struct {
 	status     int
 	up         *upstream.Answer // with 200
+	text       string           // what was wrong, for who reads logs on the other side
 	retryAfter time.Duration    // 0 for none
 }
 
-// unread is how long a client may leave what is written to it unread. It
-// guards against clients that stop reading: each would hold its connection,
-// and with a long answer that of an endpoint as well, for good.
-const unread = 10 * time.Second
-
-// write gives a client its answer.
-func (s *Sidecar) write(w http.ResponseWriter, req *http.Request, a answer) {
-	rc := http.NewResponseController(w)
-	rc.SetWriteDeadline(time.Now().Add(unread))
-	if a.up == nil {
-		if a.retryAfter > 0 {
-			w.Header().Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
-		}
-		w.WriteHeader(a.status)
-		return
-	}
-	defer a.up.Discard()
-	for name, values := range endToEnd(a.up.Header) {
-		w.Header()[name] = values
-	}
-	if a.up.Length >= 0 {
-		w.Header().Set("Content-Length", strconv.FormatInt(a.up.Length, 10))
+// write writes the answer in one piece; keep tells that the connection goes on.
+func (a answer) write(w io.Writer, keep bool) error {
+	body := []byte(a.text)
+	var head strings.Builder
+	fmt.Fprintf(&head, "HTTP/1.1 %d %s\r\n", a.status, http.StatusText(a.status))
+	if a.up != nil {
+		body = a.up.Body
+		endToEnd(a.up.Header).Write(&head)
+	} else if a.text != "" {
+		head.WriteString("Content-Type: text/plain; charset=utf-8\r\n")
 	}
-	w.WriteHeader(http.StatusOK)
-	w.Write(a.up.Body)
-	if a.up.Rest != nil {
-		pass(w, rc, a.up.Rest)
+	if a.retryAfter > 0 {
+		head.WriteString("Retry-After: " + strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64) + "\r\n")
 	}
-}
-
-// pass passes the rest of a long answer on as it comes. If it cannot be
-// finished the connection is aborted, so that the client can tell.
-func pass(w http.ResponseWriter, rc *http.ResponseController, rest io.Reader) {
-	rc.Flush()
-	buf := make([]byte, bodyChunk)
-	for {
-		n, err := rest.Read(buf)
-		if n > 0 {
-			rc.SetWriteDeadline(time.Now().Add(unread))
-			if _, err := w.Write(buf[:n]); err != nil {
-				panic(http.ErrAbortHandler)
-			}
-			rc.Flush()
-		}
-		if err == io.EOF {
-			return
-		}
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
+	if !keep {
+		head.WriteString("Connection: close\r\n")
 	}
+	head.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n")
+	all := net.Buffers{[]byte(head.String()), body}
+	_, err := all.WriteTo(w)
+	return err
 }
--- /dev/null
+++ b/internal/sidecar/caller.go
@@ -0,0 +1,300 @@
+package sidecar
+
+import (
+	"bufio"
+	"container/list"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"time"
+
+	"oatgw/internal/framing"
+)
+
+const (
+	// helloTime is how long a connection may stand before its first request;
+	// who says nothing is owed a close within 3 s.
+	helloTime = 2 * time.Second
+	// requestTime is what a request gets from its first byte to its last, for
+	// the first one counted from when the connection came. It is what is owed,
+	// 3 s, less time to answer, and bounds slow heads and stalled bodies alike.
+	requestTime = 2500 * time.Millisecond
+	// idleTime is how long a connection may stand between requests. Callers may
+	// be closed on after 2 s; most come again sooner, and a new connection
+	// costs both sides more than an old one that waits.
+	idleTime = 10 * time.Second
+
+	// unread is how long a caller may leave its answer unread. It guards
+	// against callers that stop reading, each of which would hold its
+	// connection for good.
+	unread = 3 * time.Second
+
+	// lingerTime and lingerBytes bound the reading after a rejection. Closing
+	// on bytes that still come would reset the connection and eat the answer;
+	// a caller with 60 MB to send gets 6 s in all.
+	lingerTime  = 3 * time.Second
+	lingerBytes = 80 << 20
+
+	// rejectPause slows a caller whose requests are turned away on one
+	// connection again and again: it is answered in time, and leaves the
+	// processor to the others. It would slow an honest caller that has been
+	// given a wrong configuration, which has nothing to win from haste.
+	rejectPause = 100 * time.Millisecond
+
+	// callerBuffer is the kernel's receive buffer of a connection. Whole
+	// bodies fit; left to itself it grows to megabytes under a caller that
+	// sends at full speed, out of the same memory limit.
+	callerBuffer = 64 << 10
+)
+
+// caller is one connection of a caller.
+type caller struct {
+	callers *Callers
+	conn    net.Conn
+	in      *bufio.Reader
+	born    time.Time
+	gone    chan struct{} // closed when the connection is given up for another
+	done    chan struct{} // closed when its descriptor is free
+	rejects int           // in a row
+
+	state state         // guarded by Callers.mu, as is
+	place *list.Element // where it stands in its state; nil when given up
+}
+
+func newCaller(cs *Callers, nc net.Conn) *caller {
+	if tc, ok := nc.(*net.TCPConn); ok {
+		tc.SetReadBuffer(callerBuffer)
+	}
+	return &caller{
+		callers: cs,
+		conn:    nc,
+		in:      bufio.NewReaderSize(nc, framing.MaxHead),
+		born:    time.Now(),
+		gone:    make(chan struct{}),
+		done:    make(chan struct{}),
+	}
+}
+
+// serve reads requests one by one and answers each.
+func (c *caller) serve() {
+	defer c.end()
+	defer func() {
+		// One request that meets a fault must not take all others with it.
+		if e := recover(); e != nil {
+			slog.Error("a connection ended by a fault", "error", e, "stack", string(debug.Stack()))
+		}
+	}()
+	wait, until, end := unproven, c.born.Add(helloTime), c.born.Add(requestTime)
+	for c.await(wait, until) {
+		if wait != unproven {
+			end = time.Now().Add(requestTime)
+		}
+		served, goesOn := c.one(end)
+		if !goesOn {
+			return
+		}
+		if served {
+			wait = idle
+		}
+		// One that only asked whether the sidecar is ready, or was turned
+		// away, is no better than one that says nothing.
+		until = time.Now().Add(helloTime)
+		if wait == idle {
+			until = time.Now().Add(idleTime)
+		}
+		end = time.Now().Add(helloTime + requestTime)
+	}
+}
+
+// await waits for the first byte of a request and tells whether it has come.
+func (c *caller) await(st state, until time.Time) bool {
+	for {
+		goesOn, closing := c.move(st, until)
+		if !goesOn {
+			return false
+		}
+		_, err := c.in.Peek(1)
+		if err == nil {
+			return true
+		}
+		if closing || !errors.Is(err, os.ErrDeadlineExceeded) || !c.closing() {
+			return false
+		}
+	}
+}
+
+// one reads and answers one request. It tells whether the request was taken
+// and whether another may follow on the connection.
+func (c *caller) one(end time.Time) (served, goesOn bool) {
+	if ok, _ := c.move(reading, end); !ok {
+		return false, false
+	}
+	head, err := framing.Peek(c.in)
+	if err != nil {
+		switch {
+		case errors.Is(err, framing.ErrLong):
+			c.reject(http.StatusRequestHeaderFieldsTooLarge, err)
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			c.reject(http.StatusRequestTimeout, errors.New("the head did not come in time"))
+		}
+		return false, false
+	}
+	if err := framing.Check(head); err != nil {
+		c.reject(http.StatusBadRequest, err)
+		return false, false
+	}
+	req, err := http.ReadRequest(c.in)
+	if err != nil {
+		c.reject(http.StatusBadRequest, err)
+		return false, false
+	}
+	if req.ProtoMajor != 1 || req.Host == "" {
+		c.reject(http.StatusBadRequest, errors.New("want HTTP/1.1 and a Host"))
+		return false, false
+	}
+	s := c.callers.s
+	if req.URL.Path == readyPath && req.ContentLength == 0 {
+		return false, c.give(req, answer{status: s.ready()}, true)
+	}
+	p, status, err := s.plan(req)
+	if err != nil {
+		return false, c.turnAway(req, status, err)
+	}
+	if err := c.expected(req); err != nil {
+		c.reject(http.StatusExpectationFailed, err)
+		return false, false
+	}
+	body, err := s.bodies.read(req)
+	switch {
+	case errors.Is(err, errBodyLong):
+		c.reject(http.StatusRequestEntityTooLarge, err)
+		return false, false
+	case errors.Is(err, errBodyRoom):
+		// Nothing has been sent for it, so trying again is harmless.
+		c.reject(http.StatusServiceUnavailable, err)
+		return false, false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.reject(http.StatusRequestTimeout, errors.New("the body did not come in time"))
+		return false, false
+	case err != nil:
+		c.reject(http.StatusBadRequest, err)
+		return false, false
+	}
+	if c.in.Buffered() > 0 {
+		// Callers send one request at a time. What comes all at once is a
+		// burst, or stood hidden behind the body of the first.
+		body.release()
+		c.reject(http.StatusBadRequest, errors.New("bytes behind the request"))
+		return false, false
+	}
+	return c.carry(req, p, body)
+}
+
+// expected answers an Expect field.
+func (c *caller) expected(req *http.Request) error {
+	want := req.Header.Get("Expect")
+	if want == "" {
+		return nil
+	}
+	if !strings.EqualFold(want, "100-continue") {
+		return errors.New("Expect: want 100-continue or nothing")
+	}
+	if req.ContentLength == 0 || req.ContentLength > maxBody {
+		return nil
+	}
+	c.conn.SetWriteDeadline(time.Now().Add(unread))
+	_, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n")
+	return err
+}
+
+// carry hands a whole request to the Sidecar and gives its answer.
+func (c *caller) carry(req *http.Request, p plan, b *body) (served, goesOn bool) {
+	s := c.callers.s
+	p.budget = c.callers.left(p.budget)
+	r := newRequest(req, p, b)
+	r.wake = func() { c.conn.SetReadDeadline(past) }
+	if ok, _ := c.move(taken, time.Time{}); !ok {
+		b.release()
+		return false, false
+	}
+	if err := s.take(r, p.class, p.tenant); err != nil {
+		b.release()
+		return false, c.turnAway(req, http.StatusConflict, err)
+	}
+	c.rejects = 0
+	// Nothing should come before the answer; waiting for it tells when the
+	// caller has gone away. The answer ends the wait.
+	_, err := c.in.Peek(1)
+	left := err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	if left {
+		s.withdraw(r)
+	}
+	a := <-r.answer
+	return true, c.give(req, a, !left)
+}
+
+// turnAway answers a request that cannot be used. If nothing else comes with
+// it the connection goes on.
+func (c *caller) turnAway(req *http.Request, status int, why error) (goesOn bool) {
+	if req.ContentLength != 0 || c.in.Buffered() > 0 || req.Close {
+		c.reject(status, why)
+		return false
+	}
+	c.pause()
+	return c.give(req, answer{status: status, text: why.Error()}, true)
+}
+
+// pause holds back the answer to the second and later of a row of rejections.
+func (c *caller) pause() {
+	c.rejects++
+	if c.rejects < 2 {
+		return
+	}
+	if ok, _ := c.move(rejected, time.Time{}); !ok {
+		return
+	}
+	select {
+	case <-c.gone:
+	case <-time.After(rejectPause):
+	}
+}
+
+// reject answers what cannot be read further and ends the connection, having
+// read on until the caller had time to see the answer.
+func (c *caller) reject(status int, why error) {
+	c.conn.SetWriteDeadline(time.Now().Add(unread))
+	if err := (answer{status: status, text: why.Error()}).write(c.conn, false); err != nil {
+		return
+	}
+	if ok, _ := c.move(rejected, time.Now().Add(lingerTime)); !ok {
+		return
+	}
+	if tc, ok := c.conn.(*net.TCPConn); ok {
+		tc.CloseWrite()
+	}
+	buf := scratch.Get().(*[]byte)
+	defer scratch.Put(buf)
+	for n := 0; n < lingerBytes; {
+		k, err := c.in.Read(*buf)
+		n += k
+		if err != nil {
+			return
+		}
+	}
+}
+
+// scratch holds buffers for bytes that nobody wants.
+var scratch = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
+
+// give writes an answer and tells whether another request may follow.
+func (c *caller) give(req *http.Request, a answer, goesOn bool) bool {
+	goesOn = goesOn && !req.Close && req.ProtoAtLeast(1, 1) && c.in.Buffered() == 0 && !c.closing()
+	c.conn.SetWriteDeadline(time.Now().Add(unread))
+	return a.write(c.conn, goesOn) == nil && goesOn
+}
--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -3,83 +3,206 @@
 import (
 	"container/list"
 	"net"
-	"net/http"
 	"sync"
+	"time"
 )
 
-// Callers is a listener that holds at most a given number of connections. At
-// the bound it closes the one that has been idle longest; where none is idle,
-// new ones wait until one is. It guards against running out of descriptors,
-// which would keep requests that were taken from reaching an endpoint.
+// Callers holds the connections of callers, a given number at most. At the
+// bound it closes one on which no request is open, or, where there is none,
+// the one that has just come: a wait would keep out everybody. It guards
+// against running out of descriptors, which would keep requests that were
+// taken from reaching an endpoint, and against whoever takes connections and
+// does nothing with them, for whatever reason.
 type Callers struct {
-	net.Listener
+	s   *Sidecar
 	max int
 
-	mu     sync.Mutex
-	change sync.Cond
-	open   int
-	idle   list.List // of net.Conn, the one idle longest in front
-	places map[net.Conn]*list.Element
-	closed bool
+	mu      sync.Mutex
+	open    int
+	places  [states]list.List // of *caller, the one longest in that state in front
+	closing bool              // connections end once no request is open on them
+	last    time.Time         // answers are given by then; zero for no bound
+	empty   chan struct{}     // closed when closing and nothing is open
 }
 
-// NewCallers returns a Callers on l. Its State must be the server's ConnState.
-func NewCallers(l net.Listener, most int) *Callers {
-	c := &Callers{Listener: l, max: most, places: map[net.Conn]*list.Element{}}
-	c.change.L = &c.mu
+// state is what a caller's connection is used for.
+type state int
+
+// The states in the order in which connections are given up for others. One in
+// the state taken is never closed from outside.
+const (
+	rejected state = iota // told off, and read until it ends
+	unproven              // has brought no request that was taken, and none is coming
+	idle                  // between requests
+	reading               // a request is coming
+	taken                 // a request is open
+	states
+)
+
+// NewCallers returns Callers that hold at most so many connections to s.
+func NewCallers(s *Sidecar, most int) *Callers {
+	return &Callers{s: s, max: most, empty: make(chan struct{})}
+}
+
+// Serve takes connections from l until it is closed.
+func (cs *Callers) Serve(l net.Listener) error {
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			if t, ok := err.(interface{ Temporary() bool }); ok && t.Temporary() {
+				// Out of descriptors, or the peer has left already.
+				time.Sleep(acceptPause)
+				continue
+			}
+			return err
+		}
+		if c := cs.admit(nc); c != nil {
+			go c.serve()
+		}
+	}
+}
+
+// acceptPause is the wait after an accept that failed for want of something
+// that others give back: long enough not to spin, short beside any deadline.
+const acceptPause = 5 * time.Millisecond
+
+// admit books a new connection, or closes it and returns nil.
+func (cs *Callers) admit(nc net.Conn) *caller {
+	cs.mu.Lock()
+	for cs.open >= cs.max {
+		victim := cs.victim()
+		if victim == nil {
+			cs.mu.Unlock()
+			nc.Close()
+			return nil
+		}
+		victim.leave()
+		cs.open--
+		close(victim.gone)
+		cs.mu.Unlock()
+		victim.conn.Close()
+		<-victim.done // its descriptor is free from here on
+		cs.mu.Lock()
+	}
+	c := newCaller(cs, nc)
+	cs.open++
+	c.enter(unproven)
+	cs.mu.Unlock()
 	return c
 }
 
-// Accept implements net.Listener.
-func (c *Callers) Accept() (net.Conn, error) {
-	c.mu.Lock()
-	for c.open >= c.max && !c.closed {
-		if e := c.idle.Front(); e != nil {
-			conn := e.Value.(net.Conn)
-			c.active(conn)
-			conn.Close() // the server then tells State
+// victim is the connection to give up, or nil; the mutex is held.
+func (cs *Callers) victim() *caller {
+	for st := range taken {
+		if e := cs.places[st].Front(); e != nil {
+			return e.Value.(*caller)
+		}
+	}
+	return nil
+}
+
+// Drain lets go of all connections as soon as no request is open on them, and
+// waits until none is left. What is still taken is answered by last.
+func (cs *Callers) Drain(last time.Time) {
+	cs.mu.Lock()
+	cs.closing = true
+	for _, st := range []state{unproven, idle} {
+		for e := cs.places[st].Front(); e != nil; e = e.Next() {
+			// It wakes, serves what has come already and closes.
+			e.Value.(*caller).conn.SetReadDeadline(past)
 		}
-		c.change.Wait()
 	}
-	c.open++
-	c.mu.Unlock()
-	conn, err := c.Listener.Accept()
-	if err != nil {
-		c.mu.Lock()
-		c.open--
-		c.mu.Unlock()
+	if cs.open == 0 {
+		close(cs.empty)
 	}
-	return conn, err
+	cs.mu.Unlock()
+	select {
+	case <-cs.empty:
+	case <-time.After(time.Until(last)):
+	}
+}
+
+// Bound makes all that is taken from now on end by last.
+func (cs *Callers) Bound(last time.Time) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.last = last
+}
+
+// left is how much of budget there is until the bound, if one is set.
+func (cs *Callers) left(budget time.Duration) time.Duration {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if cs.last.IsZero() {
+		return budget
+	}
+	return max(0, min(budget, time.Until(cs.last)))
+}
+
+// past is a deadline that ends a read at once.
+var past = time.Unix(1, 0)
+
+// enter puts c into a state; the mutex is held.
+func (c *caller) enter(st state) {
+	c.place = c.callers.places[st].PushBack(c)
+	c.state = st
 }
 
-// Close implements net.Listener.
-func (c *Callers) Close() error {
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
-	c.change.Broadcast()
-	return c.Listener.Close()
+// leave takes c out of its state: it has been given up; the mutex is held.
+func (c *caller) leave() {
+	if c.place != nil {
+		c.callers.places[c.state].Remove(c.place)
+		c.place = nil
+	}
 }
 
-// State takes the server's news of a connection.
-func (c *Callers) State(conn net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.active(conn)
-	switch state {
-	case http.StateIdle:
-		c.places[conn] = c.idle.PushBack(conn)
-		c.change.Broadcast()
-	case http.StateClosed, http.StateHijacked:
-		c.open--
-		c.change.Broadcast()
+// move changes the state of c and sets until when it may read. It tells whether
+// c goes on, which it does not once it has been given up, and whether
+// connections are to end; then one on which no request is open has lastLook.
+func (c *caller) move(st state, until time.Time) (goesOn, closing bool) {
+	cs := c.callers
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if c.place == nil {
+		return false, cs.closing
 	}
+	if cs.closing && (st == unproven || st == idle) {
+		until = time.Now().Add(lastLook)
+	}
+	c.leave()
+	c.enter(st)
+	c.conn.SetReadDeadline(until)
+	return true, cs.closing
+}
+
+// lastLook is how long a connection that is to end is read for a request that
+// its caller may have written already: one that came before the end of the
+// connection was sent is served, not lost.
+const lastLook = 20 * time.Millisecond
+
+// closing tells whether connections are to end.
+func (c *caller) closing() bool {
+	c.callers.mu.Lock()
+	defer c.callers.mu.Unlock()
+	return c.callers.closing
 }
 
-// active takes conn off the idle ones.
-func (c *Callers) active(conn net.Conn) {
-	if e := c.places[conn]; e != nil {
-		c.idle.Remove(e)
-		delete(c.places, conn)
+// end books that c is closed.
+func (c *caller) end() {
+	cs := c.callers
+	c.conn.Close()
+	close(c.done)
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if c.place != nil { // else it was given up, and booked then
+		c.leave()
+		cs.open--
+	}
+	if cs.closing && cs.open == 0 {
+		select {
+		case <-cs.empty:
+		default:
+			close(cs.empty)
+		}
 	}
 }
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -19,80 +19,43 @@
 	// waking up: an answer a moment after its deadline is a lost request, one
 	// a moment before it costs nothing.
 	transit = 20 * time.Millisecond
-
-	// bodyFullRetry is the advice to a client whose body found no room.
-	bodyFullRetry = time.Second
 )
 
-// ServeHTTP implements http.Handler.
-func (s *Sidecar) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	if req.URL.Path == readyPath {
-		s.ready(w)
-		return
-	}
-	p, status, err := s.plan(req)
-	if err != nil {
-		http.Error(w, err.Error(), status)
-		return
-	}
-	rc := http.NewResponseController(w)
-	// A body may take longer than the last answer on this connection could.
-	rc.SetWriteDeadline(time.Time{})
-	body, err := s.bodies.read(rc, req)
-	switch {
-	case errors.Is(err, errBodyLong):
-		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
-		return
-	case errors.Is(err, errBodyRoom):
-		s.write(w, req, answer{status: http.StatusServiceUnavailable, retryAfter: bodyFullRetry})
-		return
-	case err != nil:
-		// Half a request was not taken, and there may be nobody to tell.
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
+// newRequest is what is sent on of a request.
+func newRequest(req *http.Request, p plan, b *body) *request {
 	r := &request{
+		callID: p.callID,
 		budget: p.budget,
-		body:   body,
+		body:   b,
 		out: upstream.Request{
 			Method: req.Method,
 			URI:    requestURI(req),
 			Host:   req.Host,
 			Header: endToEnd(req.Header),
-			Body:   body.reader,
-			Length: body.length,
+			Body:   b.data,
 		},
 	}
 	if _, ok := r.out.Header["User-Agent"]; !ok {
 		r.out.Header["User-Agent"] = nil // keeps the codec from adding its own
 	}
-	s.take(r, p.class, p.tenant)
-	var a answer
-	select {
-	case a = <-r.answer:
-	case <-req.Context().Done():
-		s.withdraw(r)
-		a = <-r.answer
-	}
-	s.write(w, req, a)
+	return r
 }
 
-// ready tells whether callers may be sent here.
-func (s *Sidecar) ready(w http.ResponseWriter) {
+// ready is the status that tells whether callers may be sent here.
+func (s *Sidecar) ready() int {
 	s.mu.Lock()
-	listed := s.listed
-	s.mu.Unlock()
-	if !listed || s.draining.Load() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+	defer s.mu.Unlock()
+	if !s.listed || s.draining.Load() {
+		return http.StatusServiceUnavailable
 	}
-	w.WriteHeader(http.StatusOK)
+	return http.StatusOK
 }
 
 // plan is what the head of a request tells the Balancer.
 type plan struct {
 	class, tenant int
 	budget        time.Duration
+	callID        string
 }
 
 // plan reads the head of a request, or tells which status it is answered with.
@@ -107,13 +70,16 @@
 		return p, http.StatusBadRequest, err
 	}
 	p = plan{class: class, tenant: -1, budget: c.Deadline}
+	if p.callID, err = callID(req); err != nil {
+		return p, http.StatusBadRequest, err
+	}
 	if i, ok := s.cfg.Tenants[req.Header.Get("X-Caller")]; ok {
 		p.tenant = i
 	}
-	if text := req.Header.Get("X-Budget-Ms"); text != "" {
-		ms, err := strconv.ParseUint(text, 10, 32)
-		if err != nil {
-			return p, http.StatusBadRequest, fmt.Errorf("X-Budget-Ms %q, want whole milliseconds", text)
+	if texts, ok := req.Header["X-Budget-Ms"]; ok {
+		ms, err := strconv.ParseUint(texts[0], 10, 32)
+		if err != nil || ms == 0 || len(texts) > 1 {
+			return p, http.StatusBadRequest, fmt.Errorf("X-Budget-Ms %.40q, want whole milliseconds above 0", texts)
 		}
 		p.budget = min(p.budget, time.Duration(ms)*time.Millisecond)
 	}
@@ -121,6 +87,27 @@
 	return p, 0, nil
 }
 
+// Ids have 16 hexadecimal digits; others are let through as far as they can
+// stand in a log and in a table of bounded size.
+const maxCallID = 64
+
+// callID reads the id of a request. One without an id, or with several, cannot
+// be told from another, and no endpoint may see it.
+func callID(req *http.Request) (string, error) {
+	ids := req.Header["X-Call-Id"]
+	if len(ids) != 1 || ids[0] == "" || len(ids[0]) > maxCallID {
+		return "", fmt.Errorf("X-Call-Id %.80q, want one id", ids)
+	}
+	for _, c := range []byte(ids[0]) {
+		switch {
+		case c >= '0' && c <= '9', c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c == '-', c == '_':
+		default:
+			return "", fmt.Errorf("X-Call-Id %.80q, want letters and digits", ids[0])
+		}
+	}
+	return ids[0], nil
+}
+
 // checkMethod tells whether a request comes in the form of its class. One that
 // does not may not mean what the settings say of repeating it.
 func checkMethod(semantics balance.Semantics, req *http.Request) error {
@@ -132,6 +119,12 @@
 	if req.Method != method {
 		return fmt.Errorf("method %s, want %s for this class", req.Method, method)
 	}
+	if semantics == balance.Safe && req.ContentLength != 0 {
+		return errors.New("a body, want none for this class")
+	}
+	if keys := req.Header["Idempotency-Key"]; len(keys) > 1 || len(keys) == 1 && keys[0] == "" {
+		return fmt.Errorf("Idempotency-Key %.80q, want one", keys)
+	}
 	if semantics != balance.Safe && hasKey != key {
 		return fmt.Errorf("Idempotency-Key: given is %t, want %t for this class", hasKey, key)
 	}
--- /dev/null
+++ b/internal/sidecar/seen.go
@@ -0,0 +1,33 @@
+package sidecar
+
+import "time"
+
+// seenMost bounds the ids of one span, whatever their number a second: some
+// hundred kilobytes.
+const seenMost = 8 << 10
+
+// seenIDs remembers the ids of requests for at least span, in two halves of
+// which the older is dropped whole. Every request has an id of its own, also a
+// repeat, so one that has come before belongs to somebody else, who may still
+// wait for its answer; sent on, it would run twice under one name. Under more
+// ids than seenMost in a span it remembers less, and forgets the oldest first.
+type seenIDs struct {
+	span     time.Duration
+	new, old map[string]struct{}
+	since    time.Duration
+}
+
+// add remembers id and tells whether it is new.
+func (s *seenIDs) add(id string, now time.Duration) bool {
+	if s.new == nil || now-s.since >= s.span || len(s.new) >= seenMost {
+		s.old, s.new, s.since = s.new, map[string]struct{}{}, now
+	}
+	if _, ok := s.new[id]; ok {
+		return false
+	}
+	if _, ok := s.old[id]; ok {
+		return false
+	}
+	s.new[id] = struct{}{}
+	return true
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -15,7 +16,7 @@
 	"oatgw/internal/upstream"
 )
 
-// Sidecar is the http.Handler before one tier.
+// Sidecar balances the requests before one tier.
 type Sidecar struct {
 	cfg    *config.Config
 	pool   *upstream.Pool
@@ -30,6 +31,7 @@
 	balancer *balance.Balancer
 	requests map[balance.RequestID]*request // those that are owed an answer
 	lastID   balance.RequestID
+	seen     seenIDs // ids of requests taken
 	listed   bool
 	wanted   bool      // a watch was wanted before there was a source
 	sources  []*source // discovery followed: the one that tells and, after Move, the one to take over
@@ -38,10 +40,12 @@
 // request is a request that the Balancer has been given.
 type request struct {
 	id     balance.RequestID
+	callID string
 	out    upstream.Request
 	budget time.Duration
 	body   *body
 	answer chan answer // takes the one answer
+	wake   func()      // called before the answer is there; must not block
 
 	ctx    context.Context // ends once nothing more may be sent for the request
 	cancel context.CancelFunc
@@ -60,6 +64,7 @@
 		pool:     pool,
 		start:    time.Now(),
 		moves:    make(chan string, 1),
+		seen:     seenIDs{span: 2 * cfg.LongestDeadline()},
 		requests: map[balance.RequestID]*request{},
 	}
 	s.bodies.left.Store(int64(cfg.Limits.MemoryMB) << 20 / bodyShare)
@@ -80,17 +85,25 @@
 // never sees it run back.
 func (s *Sidecar) now() time.Duration { return time.Since(s.start) }
 
-// take hands a request to the Balancer.
-func (s *Sidecar) take(r *request, class, tenant int) {
+// errSeen tells of a request whose id is not its own.
+var errSeen = errors.New("X-Call-Id: a request with this id has come before")
+
+// take hands a request to the Balancer, or tells why not.
+func (s *Sidecar) take(r *request, class, tenant int) error {
 	r.answer = make(chan answer, 1)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.seen.add(r.callID, s.now()) {
+		r.cancel()
+		return errSeen
+	}
 	s.lastID++
 	r.id = s.lastID
 	s.requests[r.id] = r
 	s.stats.taken++
 	s.balancer.Request(s.now(), r.id, class, tenant, r.budget)
+	return nil
 }
 
 // withdraw tells the Balancer that the client of r has gone away. Attempts
@@ -132,6 +145,9 @@
 	r.answered = true
 	r.cancel()
 	delete(s.requests, r.id)
+	if r.wake != nil {
+		r.wake()
+	}
 	r.answer <- a
 	return true
 }
@@ -144,8 +160,8 @@
 	now := s.now()
 	r.pending--
 	s.stats.results[result]++
-	if result == balance.OK && !s.give(r, answer{status: http.StatusOK, up: up}) {
-		defer up.Discard()
+	if result == balance.OK {
+		s.give(r, answer{status: http.StatusOK, up: up})
 	}
 	over := r.answered || r.withdrawn
 	s.balancer.Outcome(now, r.id, number, result, now-sent, over)
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"time"
 
 	"oatgw/balance"
+	"oatgw/internal/framing"
 )
 
 // Request is what an attempt sends.
@@ -21,46 +23,45 @@
 	URI    string // path and query as they came
 	Host   string
 	Header http.Header // not changed
-	Body   func() io.Reader
-	Length int64
+	Body   []byte
 }
 
-// Answer is an endpoint's 200.
+// Answer is an endpoint's 200, whole.
 type Answer struct {
 	Header http.Header
-	Body   []byte        // whole, or what has come of a long one
-	Rest   io.ReadCloser // what follows Body; nil if it is whole
-	Length int64         // of the whole body; -1 where the endpoint does not say
-}
-
-// Discard gives up an answer that nobody wants.
-func (a *Answer) Discard() {
-	if a != nil && a.Rest != nil {
-		a.Rest.Close()
-	}
+	Body   []byte
 }
 
 const (
-	// Whole is the longest body that is held until it is whole, so that a
-	// break inside it is an outcome of the attempt and no half answer. Longer
-	// ones are timed at their first bytes and passed on as they come.
-	Whole = 64 << 10
+	// maxAnswer is the longest body, the protocol's bound. Every answer is held
+	// until it is whole, so that a break inside it, or one that never ends, is
+	// an outcome of the attempt and no half answer to the caller.
+	maxAnswer = 64 << 10
 
-	maxHead = 64 << 10 // bytes of an answer's head
+	// answerTime is what an answer gets from its first byte to its last.
+	// Endpoints write theirs in one go, so one that stops inside is spoilt and
+	// waiting for the rest holds the request up; an endpoint that freezes in
+	// the middle for half a second would be misjudged.
+	answerTime = 500 * time.Millisecond
 
-	// silence is how long the rest of a long answer may pause; endpoints
-	// pause it for 0.1 s at most, so one that is silent for longer is gone.
-	silence = 3 * time.Second
+	// maxInterim is how many interim answers may come first: a few are usual,
+	// no end of them is a way of never answering.
+	maxInterim = 8
 
 	// lastLook is how long an answer is awaited that an endpoint may have
 	// given before it broke the connection.
 	lastLook = 20 * time.Millisecond
+
+	// afterOver is how long an attempt is waited for once nobody wants its
+	// answer any more. Most come within it, and save a new connection; the
+	// others would hold a descriptor for as long as a deadline.
+	afterOver = 500 * time.Millisecond
 )
 
 // Do makes one attempt at the endpoint called name and waits for its outcome
 // for as long as timeout. Until its last byte is written, the attempt ends
-// with ctx, never having run; then it is read to its end, so that the
-// connection can be used again. The answer comes only with balance.OK.
+// with ctx, never having run; then it has afterOver to end. The answer comes
+// only with balance.OK.
 func (p *Pool) Do(ctx context.Context, name string, r *Request, timeout time.Duration) (*Answer, balance.Result) {
 	deadline := time.Now().Add(timeout)
 	c, result := p.connect(ctx, name, deadline)
@@ -73,7 +74,33 @@
 		p.lose(c)
 		return nil, result
 	}
-	return p.receive(c, r)
+	over := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		c.limit(deadline, afterOver)
+		close(over)
+	})
+	a, again, result := c.receive(r, deadline)
+	if !stop() {
+		<-over
+		if result == balance.Timeout && time.Now().Before(deadline) {
+			result = balance.Cancelled
+		}
+	}
+	if !again || c.spoiled || !c.quiet() {
+		p.lose(c)
+		return a, result
+	}
+	c.SetDeadline(time.Time{})
+	p.give(c)
+	return a, result
+}
+
+// limit makes reading end after d, or at the deadline if that is sooner.
+func (c *conn) limit(deadline time.Time, d time.Duration) {
+	if end := time.Now().Add(d); end.Before(deadline) {
+		deadline = end
+	}
+	c.SetReadDeadline(deadline)
 }
 
 // connect returns a connection to name, or what its lack means.
@@ -117,10 +144,10 @@
 		URL:           &url.URL{Opaque: r.URI},
 		Host:          r.Host,
 		Header:        header,
-		ContentLength: r.Length,
+		ContentLength: int64(len(r.Body)),
 	}
-	if r.Length > 0 {
-		out.Body = io.NopCloser(r.Body())
+	if len(r.Body) > 0 {
+		out.Body = io.NopCloser(bytes.NewReader(r.Body))
 	}
 	if err := out.Write(c.out); err != nil {
 		return err
@@ -135,22 +162,62 @@
 		return balance.NotSent
 	}
 	c.SetReadDeadline(time.Now().Add(lastLook))
-	if resp, err := c.head(r); err == nil && turnedAway(resp) {
+	if resp, err := c.head(r, time.Now().Add(lastLook)); err == nil && turnedAway(resp) {
 		return balance.Overloaded
 	}
 	return balance.ConnectError
 }
 
+// spoilt tells of an answer that came and cannot be used.
+type spoilt struct{ error }
+
 // head reads the head of the answer, past any interim ones.
-func (c *conn) head(r *Request) (*http.Response, error) {
-	c.left = maxHead
-	defer func() { c.left = -1 }()
-	for {
+func (c *conn) head(r *Request, deadline time.Time) (*http.Response, error) {
+	for range maxInterim + 1 {
+		if _, err := c.in.Peek(1); err != nil {
+			return nil, err
+		}
+		c.limit(deadline, answerTime)
+		// What cannot become an answer is not waited for.
+		if b, err := c.in.Peek(len(protocol)); err == nil && string(b) != protocol {
+			return nil, spoilt{fmt.Errorf("begins with %q", b)}
+		}
+		head, err := framing.Peek(c.in)
+		if errors.Is(err, framing.ErrLong) {
+			return nil, spoilt{err}
+		}
+		if err != nil {
+			return nil, inside(err)
+		}
+		if err := framing.Check(head); err != nil {
+			return nil, spoilt{err}
+		}
+		// net/http says of every answer without a length that it closes.
+		c.closes = bytes.Contains(bytes.ToLower(head), []byte("\r\nconnection: close"))
 		resp, err := http.ReadResponse(c.in, &http.Request{Method: r.Method})
-		if err != nil || resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, err
+		if err != nil {
+			return nil, spoilt{err}
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols || resp.StatusCode < 100 {
+			return nil, spoilt{fmt.Errorf("status %d", resp.StatusCode)}
+		}
+		if resp.StatusCode >= 200 {
+			return resp, nil
 		}
+		c.SetReadDeadline(deadline) // the answer may take its time after an interim one
 	}
+	return nil, spoilt{errors.New("too many interim answers")}
+}
+
+const protocol = "HTTP/1."
+
+// inside is what an error means once an answer has begun: one that stops is
+// spoilt, one whose connection breaks is not.
+func inside(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return spoilt{err}
+	}
+	return err
 }
 
 func turnedAway(resp *http.Response) bool {
@@ -158,97 +225,64 @@
 		resp.Header.Get("X-Rejected") == "1"
 }
 
-// receive reads the answer to a request that is out.
-func (p *Pool) receive(c *conn, r *Request) (*Answer, balance.Result) {
-	resp, err := c.head(r)
+// receive reads the answer to a request that is out, and tells whether the
+// connection can be used again.
+func (c *conn) receive(r *Request, deadline time.Time) (a *Answer, again bool, result balance.Result) {
+	resp, err := c.head(r, deadline)
 	if err != nil {
-		p.lose(c)
-		return nil, broken(err)
+		return nil, false, broken(err)
 	}
-	if resp.StatusCode != http.StatusOK {
-		result := balance.Error
-		if turnedAway(resp) {
-			result = balance.Overloaded
-		}
-		p.finish(c, resp)
-		return nil, result
+	body, err := c.body(resp)
+	again = err == nil && !resp.Close && c.in.Buffered() == 0
+	switch {
+	case turnedAway(resp):
+		return nil, again, balance.Overloaded
+	case resp.StatusCode != http.StatusOK:
+		return nil, again, balance.Error
+	case err != nil:
+		return nil, false, broken(err)
+	}
+	return &Answer{Header: resp.Header, Body: body}, again, balance.OK
+}
+
+// body reads the body of an answer to its end.
+func (c *conn) body(resp *http.Response) ([]byte, error) {
+	if resp.ContentLength > maxAnswer {
+		return nil, spoilt{fmt.Errorf("body of %d bytes, want %d at most", resp.ContentLength, maxAnswer)}
 	}
-	a := &Answer{Header: resp.Header, Length: resp.ContentLength}
-	rest := &rest{pool: p, conn: c, resp: resp}
-	if resp.ContentLength > Whole {
-		a.Rest = rest
-		return a, balance.OK
+	chunked := len(resp.TransferEncoding) > 0
+	if resp.ContentLength < 0 && !chunked && !c.closes {
+		// It would end with the connection, which the endpoint has not said
+		// it would close: whether it is whole could never be told.
+		return nil, spoilt{errors.New("body has no length")}
 	}
 	var body bytes.Buffer
-	body.Grow(int(max(resp.ContentLength, 0)) + bytes.MinRead)
-	if _, err := body.ReadFrom(io.LimitReader(resp.Body, Whole+1)); err != nil {
-		p.lose(c)
-		return nil, broken(err)
+	if resp.ContentLength > 0 {
+		body.Grow(int(resp.ContentLength) + bytes.MinRead) // for one read that finds the end
+	}
+	if _, err := body.ReadFrom(io.LimitReader(resp.Body, maxAnswer+1)); err != nil {
+		var ne net.Error
+		if chunked && !errors.As(err, &ne) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			return nil, spoilt{err} // a chunk that cannot be read
+		}
+		return nil, inside(err)
 	}
-	a.Body = body.Bytes()
-	if len(a.Body) > Whole {
-		a.Rest = rest
-		return a, balance.OK
+	if body.Len() > maxAnswer {
+		return nil, spoilt{fmt.Errorf("body is over %d bytes", maxAnswer)}
 	}
-	a.Length = int64(len(a.Body))
-	p.done(c, resp)
-	return a, balance.OK
+	return body.Bytes(), nil
 }
 
 // broken is the outcome of an attempt that was sent and got no whole answer.
+// A spoilt answer is the endpoint's error: its process lives, and the request
+// may have run.
 func broken(err error) balance.Result {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	var s spoilt
+	switch {
+	case errors.As(err, &s):
+		return balance.Error
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return balance.Timeout
 	}
 	return balance.Reset
 }
-
-// finish ends the use of a connection whose answer's body nobody wants.
-func (p *Pool) finish(c *conn, resp *http.Response) {
-	c.SetReadDeadline(time.Now().Add(lastLook))
-	if n, err := io.CopyN(io.Discard, resp.Body, Whole); err != io.EOF || n == Whole {
-		p.lose(c)
-		return
-	}
-	p.done(c, resp)
-}
-
-// done ends the use of a connection whose answer was read to its end.
-func (p *Pool) done(c *conn, resp *http.Response) {
-	if resp.Close || resp.StatusCode == http.StatusSwitchingProtocols || c.spoiled {
-		p.lose(c)
-		return
-	}
-	c.SetDeadline(time.Time{})
-	p.give(c)
-}
-
-// rest reads what follows of a long answer.
-type rest struct {
-	pool *Pool
-	conn *conn
-	resp *http.Response
-	over bool // read to its end
-	shut bool
-}
-
-func (r *rest) Read(b []byte) (int, error) {
-	r.conn.SetReadDeadline(time.Now().Add(silence))
-	n, err := r.resp.Body.Read(b)
-	r.over = r.over || err == io.EOF
-	return n, err
-}
-
-// Close ends the answer; its connection is used again if all of it was read.
-func (r *rest) Close() error {
-	if r.shut {
-		return nil
-	}
-	r.shut = true
-	if r.over {
-		r.pool.done(r.conn, r.resp)
-	} else {
-		r.pool.lose(r.conn)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/upstream/attempt_test.go
@@ -0,0 +1,202 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"oatgw/balance"
+)
+
+// patience bounds every wait of these tests; a sound run needs far less.
+const patience = 20 * time.Second
+
+// script is an endpoint that reads a request and then does as told. It counts
+// its connections.
+func script(t *testing.T, do func(c net.Conn, n int)) (p *Pool, conns func() int) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	count := make(chan int, 1)
+	count <- 0
+	go func() {
+		n := 0
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			<-count
+			n++
+			count <- n
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for i := 0; ; i++ {
+					if _, err := http.ReadRequest(in); err != nil {
+						return
+					}
+					do(c, i)
+				}
+			}()
+		}
+	}()
+	p = New(Config{DialTimeout: 5 * time.Second, ConnIdle: time.Minute, MaxConns: 8})
+	t.Cleanup(p.Close)
+	p.Set("s-1", Target{Address: l.Addr().String()})
+	return p, func() int {
+		n := <-count
+		count <- n
+		return n
+	}
+}
+
+func send(p *Pool, timeout time.Duration) (*Answer, balance.Result) {
+	return p.Do(context.Background(), "s-1", &Request{Method: "GET", URI: "/x", Host: "x", Header: http.Header{}}, timeout)
+}
+
+const good = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
+
+func TestAnswers(t *testing.T) {
+	pad := strings.Repeat("X-Pad: pppppppp\r\n", 10000)
+	for _, c := range []struct {
+		name, text string
+		want       balance.Result
+		again      bool // the connection is used again
+	}{
+		{"good", good, balance.OK, true},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n", balance.OK, true},
+		{"interim first", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + good, balance.OK, true},
+		{"odd load report", "HTTP/1.1 200 OK\r\nX-Load-Report: %%%\r\nContent-Length: 4\r\n\r\ngood", balance.OK, true},
+		{"closes", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\ngood", balance.OK, false},
+		{"second copy behind", good + good, balance.OK, false},
+		{"noise behind", good + "\x00\x01noise", balance.OK, false},
+		{"error", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", balance.Error, true},
+		{"turned away", "HTTP/1.1 503 No\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", balance.Overloaded, true},
+		{"a 503 that may have run", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", balance.Error, true},
+		{"noise", "\xf7\xff\xd81 noise without an end", balance.Error, false},
+		{"other protocol", "ICY 200 OK\r\nContent-Length: 4\r\n\r\ngood", balance.Error, false},
+		{"bad status", "HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\ngood", balance.Error, false},
+		{"no colon", "HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 4\r\n\r\ngood", balance.Error, false},
+		{"head without end", "HTTP/1.1 200 OK\r\n" + pad, balance.Error, false},
+		{"head that stops", "HTTP/1.1 200 OK\r\nContent-", balance.Error, false},
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\ngood", balance.Error, false},
+		{"length and coding", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", balance.Error, false},
+		{"bad chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\nzz\r\ngood\r\n0\r\n\r\n", balance.Error, false},
+		{"body that stops", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ngood", balance.Error, false},
+		{"no length", "HTTP/1.1 200 OK\r\n\r\ngood", balance.Error, false},
+		{"3 GB", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("g", 1<<20), balance.Error, false},
+		{"chunks without end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1000\r\n"+strings.Repeat("g", 4096)+"\r\n", 99), balance.Error, false},
+		{"another protocol", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", balance.Error, false},
+		{"interim without end", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 99), balance.Error, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p, conns := script(t, func(nc net.Conn, n int) { fmt.Fprint(nc, c.text) })
+			start := time.Now()
+			a, result := send(p, patience)
+			if result != c.want || (a != nil) != (c.want == balance.OK) {
+				t.Fatalf("answer %v, result %v, want %v", a, result, c.want)
+			}
+			if a != nil && string(a.Body) != "good" {
+				t.Errorf("body %q", a.Body)
+			}
+			if d := time.Since(start); d > patience/2 {
+				t.Errorf("took %v of the request's time", d)
+			}
+			want := 2
+			if c.again {
+				want = 1
+			}
+			send(p, patience)
+			if n := conns(); n != want {
+				t.Errorf("%d connections for two attempts, want %d", n, want)
+			}
+		})
+	}
+}
+
+// What comes once the connection has been given back is not the next answer.
+func TestBytesBetweenAnswersSpoilTheConnection(t *testing.T) {
+	back, extra := make(chan struct{}), make(chan struct{})
+	first := make(chan struct{}, 1)
+	first <- struct{}{}
+	p, conns := script(t, func(c net.Conn, n int) {
+		fmt.Fprint(c, good)
+		select {
+		case <-first:
+			<-back
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")
+			close(extra)
+		default:
+		}
+	})
+	if _, result := send(p, patience); result != balance.OK {
+		t.Fatalf("result %v", result)
+	}
+	close(back)
+	<-extra
+	a, result := send(p, patience)
+	if result != balance.OK || string(a.Body) != "good" {
+		t.Errorf("result %v, answer %v, want the one of a new connection", result, a)
+	}
+	if n := conns(); n != 2 {
+		t.Errorf("%d connections, want 2", n)
+	}
+}
+
+func TestTruncatedAndCutAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		want       balance.Result
+	}{
+		{"break before", "", balance.Reset},
+		{"break in the head", "HTTP/1.1 200 OK\r\nCont", balance.Reset},
+		{"break in the body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ngood", balance.Reset},
+		{"whole by its end", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\ngood", balance.OK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p, _ := script(t, func(nc net.Conn, n int) {
+				fmt.Fprint(nc, c.text)
+				nc.Close()
+			})
+			if _, result := send(p, patience); result != c.want {
+				t.Errorf("result %v, want %v", result, c.want)
+			}
+		})
+	}
+}
+
+// An attempt that nobody waits for any more lets go of its connection.
+func TestNobodyWaits(t *testing.T) {
+	p, _ := script(t, func(c net.Conn, n int) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan balance.Result)
+	go func() {
+		_, result := p.Do(ctx, "s-1", &Request{Method: "GET", URI: "/x", Host: "x", Header: http.Header{}}, 10*patience)
+		ended <- result
+	}()
+	for end := time.Now().Add(patience); p.Open() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond) // let it be sent; NotSent is right if it was not
+	cancel()
+	select {
+	case result := <-ended:
+		if result != balance.Cancelled && result != balance.NotSent {
+			t.Errorf("result %v, want Cancelled", result)
+		}
+	case <-time.After(patience):
+		t.Fatal("the attempt holds its connection until the time-out")
+	}
+	if n := p.Open(); n != 0 {
+		t.Errorf("%d connections open", n)
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,6 +7,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"oatgw/internal/framing"
 )
 
 // conn is a connection to an endpoint.
@@ -15,44 +17,31 @@
 	target    *target
 	in        *bufio.Reader
 	out       *bufio.Writer
-	left      int64 // bytes that may still be read of an answer's head; under 0 for no bound
-	spoiled   bool  // a write deadline may still be set on it from aside
+	closes    bool // the last answer's head says that it ends the connection
+	spoiled   bool // a write deadline may still be set on it from aside
 	idleSince time.Time
 	place     *list.Element // in Pool.idle
 }
 
-// Sizes of a connection's buffers: most heads and bodies fit.
 const (
-	readBuffer  = 4 << 10
+	// writeBuffer holds most requests whole.
 	writeBuffer = 4 << 10
+	// receiveBuffer is the kernel's: whole answers fit. Left to itself it grows
+	// to megabytes under an endpoint that sends without end, out of the
+	// sidecar's memory limit.
+	receiveBuffer = 64 << 10
 )
 
 func newConn(c net.Conn, t *target) *conn {
-	k := &conn{Conn: c, target: t, left: -1}
-	k.in = bufio.NewReaderSize(headReader{k}, readBuffer)
-	k.out = bufio.NewWriterSize(c, writeBuffer)
-	return k
-}
-
-// errLongHead ends the reading of an answer whose head has no end.
-var errLongHead = errors.New("head of the answer is too long")
-
-// headReader reads from a connection and bounds what http.ReadResponse, which
-// has no bound of its own, takes in for a head.
-type headReader struct{ *conn }
-
-func (r headReader) Read(b []byte) (int, error) {
-	if r.left == 0 {
-		return 0, errLongHead
-	}
-	if r.left > 0 && int64(len(b)) > r.left {
-		b = b[:r.left]
+	if tc, ok := c.(*net.TCPConn); ok {
+		tc.SetReadBuffer(receiveBuffer)
 	}
-	n, err := r.Conn.Read(b)
-	if r.left > 0 {
-		r.left -= int64(n)
+	return &conn{
+		Conn:   c,
+		target: t,
+		in:     bufio.NewReaderSize(c, framing.MaxHead),
+		out:    bufio.NewWriterSize(c, writeBuffer),
 	}
-	return n, err
 }
 
 // quiet tells whether an idle connection still stands and has brought nothing:
