Forget endpoints that are gone, and requests that waited for none

Cause: eps and byAddr only grew, and each list walked all of them; held kept ids of requests that had ended until a list came. Ruled out as growing: the pool's targets (removed with the list), zones, quotas and closed requests.

A place is used again once its endpoint has been gone for 30 s and no open request has an attempt there. Two tests; before, the first counts 2,000 places for 2 endpoints.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -231,7 +231,8 @@
 
 	eps      []endpoint
 	byAddr   map[string]int
-	local    int // how many of ready come first as of the own zone; all where crossings cost nothing
+	spare    []int // places in eps that are free again
+	local    int   // how many of ready come first as of the own zone; all where crossings cost nothing
 	zones    []failures
 	ready    []int   // endpoints that the list calls ready, by hash: the ring of subsets
 	capacity float64 // sum of growth over ready, at the last list change
@@ -299,12 +300,13 @@
 	}
 	if kind == Full || kind == Cached {
 		for i := range b.eps {
-			b.eps[i].State = Gone
+			b.eps[i].list(now, Gone)
 		}
 	}
 	for _, entry := range list {
 		b.member(now, entry)
 	}
+	b.forget(now)
 	b.ready = b.ready[:0]
 	b.capacity = 0
 	for i := range b.eps {
@@ -356,9 +358,18 @@
 func (b *Balancer) member(now time.Duration, entry Endpoint) {
 	i, ok := b.byAddr[entry.Addr]
 	if !ok {
-		i = len(b.eps)
+		if entry.State == Gone {
+			return
+		}
+		if n := len(b.spare); n > 0 {
+			i = b.spare[n-1]
+			b.spare = b.spare[:n-1]
+		} else {
+			i = len(b.eps)
+			b.eps = append(b.eps, endpoint{})
+		}
 		b.byAddr[entry.Addr] = i
-		b.eps = append(b.eps, endpoint{Endpoint: entry, hash: hashAddr(entry.Addr)})
+		b.eps[i] = endpoint{Endpoint: entry, hash: hashAddr(entry.Addr), flights: b.eps[i].flights[:0]}
 		b.eps[i].restart(now, b.rng.Float64())
 		return
 	}
@@ -366,9 +377,29 @@
 	if entry.Since != e.Since {
 		e.restart(now, b.rng.Float64())
 	}
+	e.list(now, entry.State)
 	e.Endpoint = entry
 }
 
+// goneMemory is how long an endpoint that has left the list is remembered: one
+// that a hiccup of discovery drops comes back well within it.
+const goneMemory = 30 * time.Second
+
+// forget frees the places of endpoints that are gone for good. It guards
+// against a list of ever new ids, which each pass would walk for as long as
+// the process lives. A place is used again only when no request that has an
+// attempt there is left, so that no late outcome is booked with a stranger.
+func (b *Balancer) forget(now time.Duration) {
+	for i := range b.eps {
+		e := &b.eps[i]
+		if e.Addr != "" && e.State == Gone && e.refs == 0 && now-e.goneAt >= goneMemory {
+			delete(b.byAddr, e.Addr)
+			e.Addr = ""
+			b.spare = append(b.spare, i)
+		}
+	}
+}
+
 // watchLater asks for the list after a spread-out delay that doubles with
 // each failure: all instances asking at once would drown discovery.
 func (b *Balancer) watchLater() {
@@ -431,6 +462,9 @@
 		b.giveUp(r, now)
 		return
 	}
+	if len(b.held) > 2*len(b.requests) { // a list may not come for hours
+		b.held = slices.DeleteFunc(b.held, func(id RequestID) bool { return b.requests[id] == nil })
+	}
 	b.held = append(b.held, r.id)
 	b.host.After((r.deadline-now)/2, uint64(r.id)<<timerBits|timerHeld)
 }
@@ -498,6 +532,7 @@
 	ratio := b.ratio(r.class)
 	e.flights = append(e.flights, flight{id: r.id, attempt: len(r.attempts), sent: now, ratio: ratio})
 	r.attempts = append(r.attempts, attempt{endpoint: i, sent: now, ratio: ratio})
+	e.refs++
 	r.out++
 	b.outTotal++
 	e.tokens--
@@ -538,6 +573,9 @@
 func (b *Balancer) end(r *request) {
 	r.closed = true
 	if r.out == 0 {
+		for k := range r.attempts {
+			b.eps[r.attempts[k].endpoint].refs--
+		}
 		delete(b.requests, r.id)
 		b.free = append(b.free, r)
 	}
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -33,6 +33,8 @@
 	failures failures
 	servedAt time.Duration
 	flights  []flight
+	refs     int           // attempts of requests that are still known
+	goneAt   time.Duration // when the list dropped it, while it is Gone
 
 	tokens   float64 // cold budget: sends allowed now
 	tokensAt time.Duration
@@ -87,6 +89,14 @@
 	noConnMax = 4 * time.Second
 )
 
+// list books what the list says.
+func (e *endpoint) list(now time.Duration, s State) {
+	if s == Gone && e.State != Gone {
+		e.goneAt = now
+	}
+	e.State = s
+}
+
 // restart forgets what was measured on the process before this one.
 func (e *endpoint) restart(now time.Duration, phase float64) {
 	e.n, e.next, e.sum, e.failures = 0, 0, 0, failures{}
--- a/balance/world_test.go
+++ b/balance/world_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -84,3 +85,56 @@
 		t.Errorf("%d sends, %d open, %d out, want 1, 0, 0", len(h.sends), len(b.requests), b.outTotal)
 	}
 }
+
+// Ever new endpoints take no ever new places, and an outcome that comes late
+// is never booked with the endpoint that has its place now.
+func TestGoneEndpointsAreForgotten(t *testing.T) {
+	cfg := testConfig()
+	cfg.ColdShare = 1
+	b, h := newTest(t, cfg)
+	now := time.Duration(0)
+	for k := range 1000 {
+		now += time.Second
+		b.Members(now, Full, []Endpoint{{Addr: fmt.Sprint("s-", k), State: Ready}, {Addr: fmt.Sprint("t-", k), State: Ready}})
+	}
+	if most := 2 * int(goneMemory/time.Second+2); len(b.eps) > most || len(b.byAddr) > most {
+		t.Errorf("%d places and %d names for 2 endpoints, want %d at most", len(b.eps), len(b.byAddr), most)
+	}
+
+	b.Members(now, Full, []Endpoint{{Addr: "old", State: Ready}})
+	b.Request(now, 1, 1, 0, 900*time.Second)
+	if len(h.sends) != 1 || h.sends[0].addr != "old" {
+		t.Fatalf("sends %v, want one to old", h.sends)
+	}
+	place := b.byAddr["old"]
+	for k := range 200 {
+		now += time.Second
+		b.Members(now, Full, []Endpoint{{Addr: fmt.Sprint("u-", k), State: Ready}})
+	}
+	if b.byAddr["old"] != place || b.eps[place].Addr != "old" {
+		t.Fatal("the place of an open attempt was given away")
+	}
+	b.Outcome(now, 1, 0, Timeout, time.Second, true)
+	b.Members(now, Full, nil)
+	if _, ok := b.byAddr["old"]; ok {
+		t.Error("still remembered with nothing open")
+	}
+	for i := range b.eps {
+		if e := &b.eps[i]; len(e.flights) != 0 || e.refs != 0 {
+			t.Errorf("place %d (%s): %d flights, %d references left", i, e.Addr, len(e.flights), e.refs)
+		}
+	}
+}
+
+// Requests that wait for an endpoint leave nothing behind when none ever comes.
+func TestHeldRequestsLeaveNothing(t *testing.T) {
+	b, _ := newTest(t, testConfig())
+	for k := range RequestID(10000) {
+		now := time.Duration(k) * ms
+		b.Request(now, k+1, 0, 0, 100*ms)
+		b.Timer(now+50*ms, uint64(k+1)<<timerBits|timerHeld)
+	}
+	if len(b.held) > 100 {
+		t.Errorf("%d requests held, want those that are open", len(b.held))
+	}
+}
