Keep unrepeatable requests off connections that may have died unseen

No end of the connection had come before, so the look at the socket (which catches the 771 that closed) could not see it. Ruled out: writing after an end had come (1 of 4,800).

After such a reset on an idle connection, unsafe requests take new ones, or ones just used, for 10 s. Loopback test.

--- a/internal/sidecar/caller.go
+++ b/internal/sidecar/caller.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"oatgw/balance"
 	"oatgw/internal/framing"
 )
 
@@ -218,6 +219,7 @@
 	s := c.callers.s
 	p.budget = c.callers.left(p.budget)
 	r := newRequest(req, p, b)
+	r.out.Once = s.cfg.Balance.Classes[p.class].Semantics == balance.Unsafe
 	r.wake = func() { c.conn.SetReadDeadline(past) }
 	if ok, _ := c.move(taken, time.Time{}); !ok {
 		b.release()
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -24,6 +24,7 @@
 	Host   string
 	Header http.Header // not changed
 	Body   []byte
+	Once   bool // must not run twice, so a reset cannot be mended
 }
 
 // Answer is an endpoint's 200, whole.
@@ -64,11 +65,12 @@
 // only with balance.OK.
 func (p *Pool) Do(ctx context.Context, name string, r *Request, timeout time.Duration) (*Answer, balance.Result) {
 	deadline := time.Now().Add(timeout)
-	c, result := p.connect(ctx, name, deadline)
+	c, result := p.connect(ctx, name, r.Once, deadline)
 	if c == nil {
 		return nil, result
 	}
 	c.SetDeadline(deadline)
+	sent := time.Now()
 	if err := c.send(ctx, r, timeout); err != nil {
 		result := c.unsent(ctx, r)
 		p.lose(c)
@@ -86,6 +88,9 @@
 			result = balance.Cancelled
 		}
 	}
+	if result == balance.Reset && !c.begun {
+		p.suspect(c, sent)
+	}
 	if !again || c.spoiled || !c.quiet() {
 		p.lose(c)
 		return a, result
@@ -104,11 +109,11 @@
 }
 
 // connect returns a connection to name, or what its lack means.
-func (p *Pool) connect(ctx context.Context, name string, deadline time.Time) (*conn, balance.Result) {
+func (p *Pool) connect(ctx context.Context, name string, once bool, deadline time.Time) (*conn, balance.Result) {
 	if ctx.Err() != nil {
 		return nil, balance.NotSent
 	}
-	c, t := p.take(name)
+	c, t := p.take(name, once)
 	if c != nil {
 		return c, balance.OK
 	}
@@ -173,10 +178,12 @@
 
 // head reads the head of the answer, past any interim ones.
 func (c *conn) head(r *Request, deadline time.Time) (*http.Response, error) {
+	c.begun = false
 	for range maxInterim + 1 {
 		if _, err := c.in.Peek(1); err != nil {
 			return nil, err
 		}
+		c.begun = true
 		c.limit(deadline, answerTime)
 		// What cannot become an answer is not waited for.
 		if b, err := c.in.Peek(len(protocol)); err == nil && string(b) != protocol {
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -200,3 +201,37 @@
 		t.Errorf("%d connections open", n)
 	}
 }
+
+// Once a kept connection has died unseen, what must not be sent twice goes on a
+// new one, and what may be repeated on a kept one still.
+func TestDeadConnectionsCastDoubt(t *testing.T) {
+	var served atomic.Int64
+	p, conns := script(t, func(c net.Conn, n int) {
+		if n == 1 && served.Load() == 1 {
+			c.(*net.TCPConn).SetLinger(0) // a reset
+			c.Close()
+			return
+		}
+		served.Add(1)
+		fmt.Fprint(c, good)
+	})
+	try := func(once bool, want balance.Result, total int) {
+		t.Helper()
+		time.Sleep(2 * restless)
+		r := &Request{Method: "GET", URI: "/x", Host: "x", Header: http.Header{}, Once: once}
+		if _, result := p.Do(context.Background(), "s-1", r, patience); result != want {
+			t.Fatalf("result %v, want %v", result, want)
+		}
+		if n := conns(); n != total {
+			t.Fatalf("%d connections so far, want %d", n, total)
+		}
+	}
+	try(true, balance.OK, 1)
+	try(true, balance.Reset, 1)
+	try(true, balance.OK, 2)
+	try(true, balance.OK, 3)
+	try(false, balance.OK, 3)
+	if n := p.Open(); n != 1 {
+		t.Errorf("%d connections open, want the last one", n)
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -17,6 +17,7 @@
 	target    *target
 	in        *bufio.Reader
 	out       *bufio.Writer
+	begun     bool // an answer to the request that is out has begun
 	closes    bool // the last answer's head says that it ends the connection
 	spoiled   bool // a write deadline may still be set on it from aside
 	idleSince time.Time
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -37,6 +37,7 @@
 	idle    list.List // of *conn, the one idle longest in front
 	open    int       // connections dialled or being dialled
 	closed  bool
+	doubt   time.Time // until then a kept connection may be dead without showing it
 }
 
 // target is an endpoint in one life of its process at one address.
@@ -134,6 +135,33 @@
 	}
 }
 
+const (
+	// restless is how long a connection may have been idle to be as good as in
+	// use: whatever closes idle ones on the way has longer to wait.
+	restless = 100 * time.Millisecond
+
+	// doubtTime is how long one dead connection casts doubt on the others. It
+	// is some lives of a connection, so that a trouble that goes on is met by
+	// the requests that bear it, and one that has gone is forgotten.
+	doubtTime = 10 * time.Second
+)
+
+// suspect books that a connection which had been idle broke under the next
+// request before any answer: its endpoint, or something on the way, had let go
+// of it unseen. For a while what must not be sent twice does not go on
+// connections that have been idle. It guards as well against idle limits
+// shorter than the settings tell, and against processes replaced behind one
+// address. Where breaks have other causes it costs those requests a new
+// connection each, a few per cent of an endpoint's work.
+func (p *Pool) suspect(c *conn, sent time.Time) {
+	if c.idleSince.IsZero() || sent.Sub(c.idleSince) < restless {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.doubt = time.Now().Add(doubtTime)
+}
+
 // drop closes an idle connection.
 func (p *Pool) drop(c *conn) {
 	for i := len(c.target.idle) - 1; i >= 0; i-- {
@@ -149,19 +177,25 @@
 
 // take returns an idle connection to name that still stands, or nil and the
 // target to dial, having made room for one more connection. Both are nil if
-// there is no such endpoint or no room.
-func (p *Pool) take(name string) (*conn, *target) {
+// there is no such endpoint or no room. For once, see Request.
+func (p *Pool) take(name string, once bool) (*conn, *target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.targets[name]
 	if t == nil {
 		return nil, nil
 	}
-	p.sweep(time.Now())
+	now := time.Now()
+	p.sweep(now)
 	for len(t.idle) > 0 {
 		c := t.idle[len(t.idle)-1]
-		if !c.quiet() {
+		// One that is doubted is closed: the new one takes its place.
+		doubted := once && now.Before(p.doubt) && now.Sub(c.idleSince) >= restless
+		if doubted || !c.quiet() {
 			p.drop(c)
+			if doubted {
+				break
+			}
 			continue
 		}
 		t.idle = t.idle[:len(t.idle)-1]
