Bytes that come too early do not eat an answer; no host in a path

Found by reading: a caller that sends on before its answer had the connection closed on unread bytes, a reset that can take the answer along; and of //x/view the class was read from another path than the one sent on. Tests for both.

--- a/internal/sidecar/caller.go
+++ b/internal/sidecar/caller.go
@@ -238,7 +238,11 @@
 		s.withdraw(r)
 	}
 	a := <-r.answer
-	return true, c.give(req, a, !left)
+	goesOn = c.give(req, a, !left)
+	if c.in.Buffered() > 0 {
+		c.linger() // what came too early must not eat the answer
+	}
+	return true, goesOn
 }
 
 // turnAway answers a request that cannot be used. If nothing else comes with
@@ -267,13 +271,17 @@
 	}
 }
 
-// reject answers what cannot be read further and ends the connection, having
-// read on until the caller had time to see the answer.
+// reject answers what cannot be read further; the connection ends.
 func (c *caller) reject(status int, why error) {
 	c.conn.SetWriteDeadline(time.Now().Add(unread))
 	if err := (answer{status: status, text: why.Error()}).write(c.conn, false); err != nil {
 		return
 	}
+	c.linger()
+}
+
+// linger reads on until the caller had time to see the last answer.
+func (c *caller) linger() {
 	if ok, _ := c.move(rejected, time.Now().Add(lingerTime)); !ok {
 		return
 	}
--- a/internal/sidecar/caller_test.go
+++ b/internal/sidecar/caller_test.go
@@ -132,6 +132,7 @@
 		{"endless chunks", pay("Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1000\r\n"+strings.Repeat("c", 4096)+"\r\n", 20)), 413},
 		{"long body", pay("Content-Length: 8388608\r\n\r\n" + strings.Repeat("b", 8<<20)), 413},
 		{"no such class", strings.Replace(view(""), "/view", "/views", 1), 404},
+		{"a host in the path", strings.Replace(view(""), "/view", "//x/view", 1), 404},
 		{"no id", "GET /view HTTP/1.1\r\nHost: x\r\n\r\n", 400},
 		{"two ids", view("X-Call-Id: 00ff\r\n"), 400},
 		{"odd id", "GET /view HTTP/1.1\r\nHost: x\r\nX-Call-Id: a b\r\n\r\n", 400},
@@ -287,6 +288,27 @@
 	return ok && ne.Timeout()
 }
 
+// Who sends on before the answer is there still gets the answer, and no more.
+func TestTooEarlyBytesDoNotEatTheAnswer(t *testing.T) {
+	hold := make(chan struct{})
+	r := newRig(t, 4, hold)
+	c := r.dial(t)
+	io.WriteString(c, view(""))
+	eventually(t, "the request at the endpoint", func() bool { return r.requests.Load() == 1 })
+	io.WriteString(c, strings.Repeat(view(""), 2000))
+	close(hold)
+	in := bufio.NewReader(c)
+	if status, _, err := get(in); status != 200 {
+		t.Errorf("status %d, %v, want 200", status, err)
+	}
+	if status, _, err := get(in); err == nil {
+		t.Errorf("a second answer, status %d", status)
+	}
+	if n := r.requests.Load(); n != 1 {
+		t.Errorf("%d requests reached the endpoint, want 1", n)
+	}
+}
+
 // A drain serves what has come, tells that the connection ends, and ends.
 func TestDrainAnswersWhatWasTaken(t *testing.T) {
 	hold := make(chan struct{})
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -62,7 +62,9 @@
 func (s *Sidecar) plan(req *http.Request) (p plan, status int, err error) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/")
 	class, ok := s.cfg.Classes[name]
-	if !ok {
+	// With two slashes the first part would be read as a host, and the path
+	// sent on would not be the one that was judged.
+	if !ok || strings.HasPrefix(req.RequestURI, "//") {
 		return p, http.StatusNotFound, fmt.Errorf("no class %q", name)
 	}
 	c := &s.cfg.Balance.Classes[class]
