--- a/cmd/oatgw/main.go
+++ b/cmd/oatgw/main.go
@@ -58,8 +58,7 @@
 	answerMargin = 50 * time.Millisecond
 )
 
-// run serves until ctx ends, and then until all that was taken is answered.
-// Each reload reads the file at path again.
+// run serves by the file at path.
 func run(ctx context.Context, path string, reload <-chan os.Signal) error {
 	if path == "" {
 		return errors.New("ROUTER_CONFIG: missing")
@@ -68,6 +67,17 @@
 	if err != nil {
 		return err
 	}
+	l, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	return serve(ctx, cfg, l, path, reload)
+}
+
+// serve answers what comes to l until ctx ends, and then until all that was
+// taken is answered. Each reload reads the file at path again.
+func serve(ctx context.Context, cfg *config.Config, l net.Listener, path string, reload <-chan os.Signal) error {
+	defer l.Close()
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMB) * heapShare * (1 << 20)))
 	conns := max(2, cfg.Limits.Sockets-ownDescriptors)
@@ -81,11 +91,6 @@
 	if err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	defer l.Close()
 	callers := sidecar.NewCallers(s, conns/2)
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
