The door closes on more than chance

Cause: admission.observe took 2 late ones of 10 or 3 of 23 for a tier over its capacity, and set the limit to what was out at that moment, so the next request was refused and its client back at once. Freezes and retries after spoilt answers keep the late share at 5 to 15 per cent. In the first seconds inAim counted with a rate that starts from nothing: an instance with 24 out and some 50 served a second closed to 8.9 and refused 62 of 88.

Mend: the limit falls only on a share that is two standard deviations above the threshold and rises only below it; Little's law sums the aims of what was served over the time that is known.

Ruled out: retry tokens (no refusal by them); answers that stop inside (from first to last byte 0.1 ms at the 99th percentile, of every kind, interim ones included).

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -8,6 +8,7 @@
 const (
 	congestionLeast = 10  // outcomes that a congested share is taken of, at the least
 	congestionHigh  = 0.1 // above this share the tier is over its capacity: more is lost to lateness than let in
+	congestionSure  = 2   // standard deviations above it that are no chance
 	limitRaise      = 1.1 // per round trip
 	limitMin        = 4
 	recentlyServed  = 500 * time.Millisecond // a server that answered within it is alive
@@ -55,6 +56,13 @@
 // observe books how an attempt ended. The limit moves once in as many outcomes
 // as there were attempts out, one round trip, so that each move shows in what
 // the next one is judged by; moving faster swings between jam and idleness.
+//
+// It falls only on a share that so few outcomes do not show by chance. Two or
+// three late ones of a dozen come of endpoints that freeze or fall silent, of
+// spoilt answers tried again and of the spread of the work as well; refusing
+// what the tier has room for mends none of these, and refused clients are back
+// at once. It could hurt where a tier is over its capacity by little: the limit
+// then falls a few round trips later.
 func (a *admission) observe(congested bool, out int, inAim float64) {
 	a.outcomes++
 	if congested {
@@ -63,8 +71,9 @@
 	if a.outcomes < max(congestionLeast, a.outBefore) {
 		return
 	}
-	over := float64(a.congested)/float64(a.outcomes) - congestionHigh
-	if over > 0 {
+	n := float64(a.outcomes)
+	over := float64(a.congested)/n - congestionHigh
+	if over > congestionSure*math.Sqrt(congestionHigh*(1-congestionHigh)/n) {
 		if a.limit == 0 {
 			a.limit = float64(out + 1)
 		}
@@ -76,7 +85,7 @@
 			a.limit = min(a.limit, inAim)
 		}
 		a.limit = max(limitMin, a.limit)
-	} else if a.refused {
+	} else if over <= 0 && a.refused {
 		// Not "out is near the limit": a small limit is never near to full
 		// when an outcome comes in, and would stay small for good.
 		a.limit *= limitRaise
@@ -196,11 +205,6 @@
 	if !a.done && !a.late {
 		a.late = true
 		b.door.late++
-		b.door.observe(true, b.outTotal, b.inAim(now, r.class))
+		b.door.observe(true, b.outTotal, b.aimRate.mean(now))
 	}
 }
-
-// inAim is how many requests this balancer sees served within a class's aim.
-func (b *Balancer) inAim(now time.Duration, class int) float64 {
-	return b.servedRate.perSecond(now) * b.cfg.Classes[class].Aim.Seconds()
-}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -247,6 +247,7 @@
 	door        admission
 	classes     []classStats
 	servedRate  rate
+	aimRate     rate // of served requests, each counted with its aim in seconds: how many can be out and be in time
 	cands       []candidate
 	total       float64
 	retryTokens float64
@@ -595,7 +596,7 @@
 	b.outTotal--
 	b.learn(now, r, a, number, result, elapsed)
 	if !a.late {
-		b.door.observe(b.congestion(now, r, a, result, elapsed), b.outTotal, b.inAim(now, r.class))
+		b.door.observe(b.congestion(now, r, a, result, elapsed), b.outTotal, b.aimRate.mean(now))
 	}
 	if over || r.closed {
 		b.end(r)
@@ -647,7 +648,8 @@
 	e.land(r.id, number)
 	switch result {
 	case OK:
-		b.servedRate.add(now)
+		b.servedRate.add(now, 1)
+		b.aimRate.add(now, b.cfg.Classes[r.class].Aim.Seconds())
 		e.servedAt = now
 		e.addSample(elapsed.Seconds() / a.ratio)
 		e.failures = failures{}
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -341,23 +341,26 @@
 	return len(b.cands) - 1
 }
 
-// rate is a decaying count of events per second.
+// rate is a decaying sum of what comes a second.
 type rate struct {
-	count float64
-	start time.Duration
+	sum   float64
+	start time.Duration // of what is known
 	at    time.Duration
 }
 
 const rateSpan = 4 * time.Second // long enough to average a bursty second, short enough to follow a surge
 
-func (r *rate) add(now time.Duration) {
+func (r *rate) add(now time.Duration, x float64) {
+	if r.sum == 0 {
+		r.start, r.at = now, now
+	}
 	r.decay(now)
-	r.count++
+	r.sum += x
 }
 
 func (r *rate) decay(now time.Duration) {
 	if now > r.at {
-		r.count *= math.Exp(-float64(now-r.at) / float64(rateSpan))
+		r.sum *= math.Exp(-float64(now-r.at) / float64(rateSpan))
 		r.at = now
 	}
 }
@@ -365,5 +368,12 @@
 // perSecond is a low estimate in the first seconds of a fresh instance.
 func (r *rate) perSecond(now time.Duration) float64 {
 	r.decay(now)
-	return r.count / rateSpan.Seconds()
+	return r.sum / rateSpan.Seconds()
+}
+
+// mean is perSecond over the time for which anything is known, and no longer
+// low. It may be high by chance within the first quarter of rateSpan.
+func (r *rate) mean(now time.Duration) float64 {
+	known := max(now-r.start, rateSpan/4)
+	return r.perSecond(now) / (1 - math.Exp(-float64(known)/float64(rateSpan)))
 }
--- a/internal/sidecar/caller_test.go
+++ b/internal/sidecar/caller_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"oatgw/internal/config"
 	"oatgw/internal/discovery"
 )
 
@@ -27,6 +28,12 @@
 // newRig starts a sidecar that holds most callers. Its endpoint answers each
 // request with the path and the body's length, once hold is nil or closed.
 func newRig(t *testing.T, most int, hold chan struct{}) *rig {
+	t.Helper()
+	return newRigOf(t, testConfig(), most, hold)
+}
+
+// newRigOf is newRig with settings. A path that ends in /now is not held.
+func newRigOf(t *testing.T, cfg *config.Config, most int, hold chan struct{}) *rig {
 	t.Helper()
 	r := &rig{hold: hold}
 	listen := func() net.Listener {
@@ -40,13 +47,12 @@
 	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		r.requests.Add(1)
 		n, _ := io.Copy(io.Discard, req.Body)
-		if r.hold != nil {
+		if r.hold != nil && !strings.HasSuffix(req.URL.Path, "/now") {
 			<-r.hold
 		}
 		fmt.Fprintf(w, "%s %d", req.URL.Path, n)
 	})}
 	go srv.Serve(endpoint)
-	cfg := testConfig()
 	cfg.Known = discovery.List{Endpoints: []discovery.Endpoint{
 		{Name: "s-1", Address: endpoint.Addr().String(), Zone: "a", Status: discovery.InService},
 	}}
