A sick endpoint keeps its failures past one served call

Checked: its ledger calls did not fail (4 errors in all sidecars behind gateways), so the 500s were its own.

Cause: learn cleared the count with each served call, so every fourth gave the endpoint its whole share back; and gather took t_b from it, whose few answers were quick as it was idle, so all others read slow (endpoint.go).

Mend: a served call halves the count, and t_b takes a mean with failures as longer by them.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -652,7 +652,7 @@
 		b.aimRate.add(now, b.cfg.Classes[r.class].Aim.Seconds())
 		e.servedAt = now
 		e.addSample(elapsed.Seconds() / a.ratio)
-		e.failures = failures{}
+		e.failures.served(now)
 		*b.zoneFailures(e.Zone) = failures{}
 		c := &b.classes[r.class]
 		if elapsed <= b.cfg.Classes[r.class].Aim {
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -114,7 +114,7 @@
 	e.next = (e.next + 1) % windowSize
 }
 
-// failures is a count that decays with time and is cleared by a success.
+// failures is a count that decays with time.
 type failures struct {
 	n  float64
 	at time.Duration
@@ -125,6 +125,15 @@
 	f.at = now
 }
 
+// served halves the count. Were it cleared, an endpoint that fails three of four
+// calls, and those at once, would have its whole share back with each fourth:
+// it guards against endpoints that are sick rather than down, and against a
+// tier behind one of them. One that is sound again has its share back after a
+// few calls; where all endpoints spoil answers alike it moves some load about.
+func (f *failures) served(now time.Duration) {
+	f.n, f.at = f.count(now)/2, now
+}
+
 func (f *failures) count(now time.Duration) float64 {
 	if f.n == 0 {
 		return 0
@@ -324,7 +333,7 @@
 		}
 		m := e.mean(now) * b.crowding(e, among) * crossing
 		if m > 0 {
-			best = min(best, m)
+			best = min(best, m/e.failures.chance(now)) // one that fails fast must not make the others look slow
 		}
 		b.cands = append(b.cands, candidate{index: i, mean: m, crossing: crossing})
 	}
--- a/internal/sidecar/caller_test.go
+++ b/internal/sidecar/caller_test.go
@@ -32,7 +32,8 @@
 	return newRigOf(t, testConfig(), most, hold)
 }
 
-// newRigOf is newRig with settings. A path that ends in /now is not held.
+// newRigOf is newRig with settings, and with their endpoints if they name some.
+// A path that ends in /now is not held.
 func newRigOf(t *testing.T, cfg *config.Config, most int, hold chan struct{}) *rig {
 	t.Helper()
 	r := &rig{hold: hold}
@@ -53,9 +54,11 @@
 		fmt.Fprintf(w, "%s %d", req.URL.Path, n)
 	})}
 	go srv.Serve(endpoint)
-	cfg.Known = discovery.List{Endpoints: []discovery.Endpoint{
-		{Name: "s-1", Address: endpoint.Addr().String(), Zone: "a", Status: discovery.InService},
-	}}
+	if len(cfg.Known.Endpoints) == 0 {
+		cfg.Known.Endpoints = []discovery.Endpoint{
+			{Name: "s-1", Address: endpoint.Addr().String(), Zone: "a", Status: discovery.InService},
+		}
+	}
 	r.Sidecar = newSidecar(t, cfg)
 	r.callers = NewCallers(r.Sidecar, most)
 	l := listen()
