--- a/balance/balance.go
+++ b/balance/balance.go
@@ -238,7 +238,6 @@
 	capacity float64 // sum of growth over ready, at the last list change
 
 	requests map[RequestID]*request
-	free     []*request
 	held     []RequestID // waiting for an endpoint
 
 	outTotal    int // attempts without an outcome
@@ -418,8 +417,7 @@
 	if class < 0 || class >= len(b.classes) || b.requests[id] != nil {
 		return
 	}
-	r := b.newRequest()
-	*r = request{id: id, class: class, arrived: now, deadline: now + budget, attempts: r.attempts[:0]}
+	r := &request{id: id, class: class, arrived: now, deadline: now + budget}
 	b.requests[id] = r
 	if b.cfg.Entry && !b.enter(now, r, tenant) && b.refuse(r, now) {
 		return
@@ -437,15 +435,6 @@
 	retryBurst = 10
 )
 
-func (b *Balancer) newRequest() *request {
-	if n := len(b.free); n > 0 {
-		r := b.free[n-1]
-		b.free = b.free[:n-1]
-		return r
-	}
-	return &request{}
-}
-
 // try sends the next attempt of r if an endpoint can take it, or holds r.
 func (b *Balancer) try(r *request, now time.Duration) {
 	i := b.pick(r, now)
@@ -550,11 +539,21 @@
 	if r.closed || !harmless {
 		return false
 	}
-	b.host.Refuse(r.id, 0)
+	b.host.Refuse(r.id, b.comeBack(r, now))
 	b.end(r)
 	return true
 }
 
+// comeBack is when a refused client may find room: once about a quarter of what
+// is out has ended, by Little's law. It is spread, so that those refused
+// together do not come together. After a whole round trip they come too late
+// for their aim; that hurts, and so would any wait where the door opens sooner.
+func (b *Balancer) comeBack(r *request, now time.Duration) time.Duration {
+	roundTrip := float64(b.outTotal) / max(b.servedRate.mean(now), 1)
+	after := time.Duration(roundTrip / 4 * (0.5 + b.rng.Float64()) * float64(time.Second))
+	return max(min(after, (r.deadline-now)/2), 0)
+}
+
 // fail is the one gate for failures.
 func (b *Balancer) fail(r *request) {
 	if r.closed {
@@ -578,7 +577,6 @@
 			b.eps[r.attempts[k].endpoint].refs--
 		}
 		delete(b.requests, r.id)
-		b.free = append(b.free, r)
 	}
 }
 
--- a/internal/sidecar/caller.go
+++ b/internal/sidecar/caller.go
@@ -48,6 +48,10 @@
 	// given a wrong configuration, which has nothing to win from haste.
 	rejectPause = 100 * time.Millisecond
 
+	// roomWait is when a request may find room for its body again: most are
+	// answered within it, and give theirs back.
+	roomWait = 300 * time.Millisecond
+
 	// callerBuffer is the kernel's receive buffer of a connection. Whole
 	// bodies fit; left to itself it grows to megabytes under a caller that
 	// sends at full speed, out of the same memory limit.
@@ -273,8 +277,12 @@
 
 // reject answers what cannot be read further; the connection ends.
 func (c *caller) reject(status int, why error) {
+	a := answer{status: status, text: why.Error()}
+	if status == http.StatusServiceUnavailable {
+		a.retryAfter = roomWait
+	}
 	c.conn.SetWriteDeadline(time.Now().Add(unread))
-	if err := (answer{status: status, text: why.Error()}).write(c.conn, false); err != nil {
+	if err := a.write(c.conn, false); err != nil {
 		return
 	}
 	c.linger()
--- a/internal/sidecar/door_test.go
+++ b/internal/sidecar/door_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"io"
+	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -30,6 +32,7 @@
 		io.WriteString(c, strings.Replace(view(""), "/view/1", path, 1))
 		go func() {
 			status, _, _ := get(bufio.NewReader(c))
+			c.Close()
 			statuses <- status
 		}()
 	}
@@ -87,3 +90,56 @@
 		t.Errorf("%d of 10 refused after 60 were served within a second", n)
 	}
 }
+
+// A jam closes the door; whoever is refused then is told when to come back.
+func TestRefusalsTellWhenToComeBack(t *testing.T) {
+	hold := make(chan struct{})
+	r := doorRig(t, hold)
+	jam := r.ask(t, 20, "/view/1")
+	time.Sleep(time.Second) // twice the aim
+	c := r.dial(t)
+	io.WriteString(c, view(""))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("answer %v, %v, want a refusal", resp, err)
+	}
+	text := resp.Header.Get("Retry-After")
+	if after, err := strconv.ParseFloat(text, 64); err != nil || after <= 0 || after > patience.Seconds()/2 {
+		t.Errorf("Retry-After %q, want a part of the client's time in seconds", text)
+	}
+	close(hold)
+	refusals(jam, 20)
+}
+
+// Once a jam is over, the door is open again after a few round trips.
+func TestDoorOpensSoonAfterAJam(t *testing.T) {
+	hold := make(chan struct{})
+	r := doorRig(t, hold)
+	free := func(answers <-chan int, n int) {
+		for len(answers) < n {
+			select {
+			case hold <- struct{}{}: // lets one go
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}
+	jam := r.ask(t, 40, "/view/1")
+	time.Sleep(time.Second) // twice the aim
+	free(jam, 40)
+	for round := 1; ; round++ {
+		reached := r.requests.Load()
+		burst := r.ask(t, 12, "/view/1")
+		eventually(t, "all are out or refused", func() bool { return r.requests.Load()-reached+int64(len(burst)) >= 12 })
+		free(burst, 12)
+		n := refusals(burst, 12)
+		if round == 1 && n == 0 {
+			t.Fatal("the jam did not close the door")
+		}
+		if n == 0 {
+			return
+		}
+		if round == 18 {
+			t.Fatalf("%d of 12 are refused %d bursts after the jam", n, round)
+		}
+	}
+}
