Pass on answers past the protocol's bound while there is room

Each endpoint that a safe request was tried at gave it the same length (six attempts, 268071 bytes each time), so these are the answers and no rubbish, larger than the protocol's 64 KiB (upstream.maxAnswer). Turning them down lost the unsafe ones and tried the safe ones up to six times.

Mend: up to 1 MiB is passed on, all together within an eighth of the memory, from when it is read until its caller has it; beyond that an error as before.

--- a/cmd/oatgw/main.go
+++ b/cmd/oatgw/main.go
@@ -39,6 +39,10 @@
 	// overshoots by.
 	heapShare = 0.7
 
+	// largeShare: answers over the protocol's bound may fill one part in so
+	// many of the memory, as request bodies may.
+	largeShare = 8
+
 	// ownDescriptors are those not for connections of callers and endpoints:
 	// the log, the listener, discovery, the runtime's poller.
 	ownDescriptors = 32
@@ -85,6 +89,7 @@
 		DialTimeout: cfg.DialTimeout,
 		ConnIdle:    cfg.Balance.ConnIdle,
 		MaxConns:    conns / 2,
+		LargeBytes:  int64(cfg.Limits.MemoryMB) << 20 / largeShare,
 	})
 	defer pool.Close()
 	s, err := sidecar.New(cfg, pool)
--- a/internal/sidecar/caller.go
+++ b/internal/sidecar/caller.go
@@ -243,6 +243,9 @@
 	}
 	a := <-r.answer
 	goesOn = c.give(req, a, !left)
+	if a.up != nil {
+		a.up.Release()
+	}
 	if c.in.Buffered() > 0 {
 		c.linger() // what came too early must not eat the answer
 	}
--- a/internal/sidecar/caller_test.go
+++ b/internal/sidecar/caller_test.go
@@ -32,6 +32,9 @@
 	return newRigOf(t, testConfig(), most, hold)
 }
 
+// largeBody is over the protocol's bound; there is room for one at a time.
+var largeBody = strings.Repeat("0123456789abcdef", 20000)
+
 // newRigOf is newRig with settings, and with their endpoints if they name some.
 // A path that ends in /now is not held.
 func newRigOf(t *testing.T, cfg *config.Config, most int, hold chan struct{}) *rig {
@@ -51,6 +54,11 @@
 		if r.hold != nil && !strings.HasSuffix(req.URL.Path, "/now") {
 			<-r.hold
 		}
+		if strings.HasSuffix(req.URL.Path, "/large") {
+			w.Header().Set("Content-Length", fmt.Sprint(len(largeBody)))
+			io.WriteString(w, largeBody)
+			return
+		}
 		fmt.Fprintf(w, "%s %d", req.URL.Path, n)
 	})}
 	go srv.Serve(endpoint)
@@ -122,6 +130,19 @@
 	}
 }
 
+// Answers past the protocol's bound are passed on, and leave room for the next.
+func TestLargeAnswersOneAfterAnother(t *testing.T) {
+	r := newRig(t, 4, nil)
+	c := r.dial(t)
+	in := bufio.NewReader(c)
+	for i := range 4 {
+		io.WriteString(c, strings.Replace(view(""), "/view/1", "/view/large", 1))
+		if status, body, err := get(in); status != 200 || body != largeBody {
+			t.Fatalf("answer %d: %d with %d bytes, %v, want 200 with %d", i, status, len(body), err, len(largeBody))
+		}
+	}
+}
+
 // What cannot be used is answered, or closed on, and reaches no endpoint.
 func TestTurnsAwayWhatCannotBeUsed(t *testing.T) {
 	r := newRig(t, 64, nil)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -160,8 +160,8 @@
 	now := s.now()
 	r.pending--
 	s.stats.results[result]++
-	if result == balance.OK {
-		s.give(r, answer{status: http.StatusOK, up: up})
+	if result == balance.OK && !s.give(r, answer{status: http.StatusOK, up: up}) {
+		up.Release()
 	}
 	over := r.answered || r.withdrawn
 	s.balancer.Outcome(now, r.id, number, result, now-sent, over)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -19,6 +19,7 @@
 	DialTimeout time.Duration
 	ConnIdle    time.Duration // endpoints close what has been idle for longer
 	MaxConns    int           // connections at most, to all endpoints
+	LargeBytes  int64         // memory for answers over the protocol's bound, all together
 }
 
 // Target is where an endpoint is reached.
@@ -30,7 +31,8 @@
 // Pool holds the connections to all endpoints. Each carries one request at a
 // time; the one used last is used first, so that those not needed go idle.
 type Pool struct {
-	cfg Config
+	cfg   Config
+	large budget
 
 	mu      sync.Mutex
 	targets map[string]*target
@@ -43,13 +45,16 @@
 // target is an endpoint in one life of its process at one address.
 type target struct {
 	Target
-	idle []*conn // the one used last at the end
-	gone bool    // replaced or no longer listed: its connections are not kept
+	large *budget // the Pool's
+	idle  []*conn // the one used last at the end
+	gone  bool    // replaced or no longer listed: its connections are not kept
 }
 
 // New returns an empty Pool.
 func New(cfg Config) *Pool {
-	return &Pool{cfg: cfg, targets: map[string]*target{}}
+	p := &Pool{cfg: cfg, targets: map[string]*target{}}
+	p.large.left.Store(cfg.LargeBytes)
+	return p
 }
 
 // Set makes name known under t. If it was known otherwise, the connections to
@@ -63,7 +68,7 @@
 		}
 		p.retire(old)
 	}
-	p.targets[name] = &target{Target: t}
+	p.targets[name] = &target{Target: t, large: &p.large}
 }
 
 // Remove forgets name and closes its idle connections.
