--- a/balance/balance.go
+++ b/balance/balance.go
@@ -470,10 +470,11 @@
 	}
 }
 
-// tooSlow tells that even the chosen endpoint's mean leaves no time to answer.
+// tooSlow tells that the time left is hopelessly short of the chosen endpoint's
+// mean. More than a third of all calls take less than half of it, and a client
+// in a hurry comes back with less; it could hurt by work that ends unserved.
 func (b *Balancer) tooSlow(r *request, i int, now time.Duration) bool {
-	m := b.eps[i].mean(now) * b.ratio(r.class)
-	return m > (r.deadline - now).Seconds()
+	return b.eps[i].mean(now)*b.ratio(r.class)/2 > (r.deadline - now).Seconds()
 }
 
 // maySend is the condition of every send: the request is open and in time,
