A single error counts half; the door's quicker rise is taken back

- Each error counted in full and only halved by a served call.
With 7 of 100 attempts spoilt at any endpoint alike, or failed behind a gateway, all stood at a part of a failure; t_b, lengthened by it, rose over most means and the chances went flat.
Now one error counts half, errors in a row double, and t_b is lengthened only by an endpoint with a whole failure.
The loopback test of the sick endpoint still holds.
- The quicker rise of the door let in more than the tier had room for between 10 and 15 s: 24 to 37 turned away as full, 7 to 10 per cent late.
Retry-After stays.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -9,7 +9,7 @@
 	congestionLeast = 10  // outcomes that a congested share is taken of, at the least
 	congestionHigh  = 0.1 // above this share the tier is over its capacity: more is lost to lateness than let in
 	congestionSure  = 2   // standard deviations above it that are no chance
-	limitRaise      = 0.1 // per round trip, and up to three times that where nothing is congested
+	limitRaise      = 1.1 // per round trip
 	limitMin        = 4
 	recentlyServed  = 500 * time.Millisecond // a server that answered within it is alive
 	valueMemory     = 500                    // requests over which the mean value is taken
@@ -57,12 +57,11 @@
 // as there were attempts out, one round trip, so that each move shows in what
 // the next one is judged by; moving faster swings between jam and idleness.
 //
-// It falls only on a share that so few outcomes do not show by chance, and
-// rises as soon as chance may be all there is. Two or three late ones of a dozen
-// come of endpoints that freeze or fall silent, of spoilt answers tried again
-// and of the spread of the work as well; refusing what the tier has room for
-// mends none of these, and refused clients are back at once. It could hurt where
-// a tier is over its capacity by little: the limit then falls later.
+// It falls only on a share that so few outcomes do not show by chance. Two or
+// three late ones of a dozen come of endpoints that freeze or fall silent, of
+// spoilt answers tried again and of the spread of the work as well; refusing
+// what the tier has room for mends none of these. It could hurt a tier that is
+// over its capacity by little.
 func (a *admission) observe(congested bool, out int, inAim float64) {
 	a.outcomes++
 	if congested {
@@ -73,8 +72,7 @@
 	}
 	n := float64(a.outcomes)
 	over := float64(a.congested)/n - congestionHigh
-	chance := math.Sqrt(congestionHigh * (1 - congestionHigh) / n)
-	if over > congestionSure*chance {
+	if over > congestionSure*math.Sqrt(congestionHigh*(1-congestionHigh)/n) {
 		if a.limit == 0 {
 			a.limit = float64(out + 1)
 		}
@@ -86,10 +84,10 @@
 			a.limit = min(a.limit, inAim)
 		}
 		a.limit = max(limitMin, a.limit)
-	} else if over <= chance && a.refused {
+	} else if over <= 0 && a.refused {
 		// Not "out is near the limit": a small limit is never near to full
 		// when an outcome comes in, and would stay small for good.
-		a.limit *= 1 + limitRaise*(1+2*max(0, -over/congestionHigh))
+		a.limit *= limitRaise
 	}
 	a.outcomes, a.congested, a.late, a.refused, a.outBefore = 0, 0, 0, false, out
 }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -547,8 +547,7 @@
 
 // comeBack is when a refused client may find room: once about a quarter of what
 // is out has ended, by Little's law. It is spread, so that those refused
-// together do not come together. After a whole round trip they come too late
-// for their aim; that hurts, and so would any wait where the door opens sooner.
+// together do not come together. After a whole round trip they miss their aim.
 func (b *Balancer) comeBack(r *request, now time.Duration) time.Duration {
 	roundTrip := float64(b.outTotal) / max(b.servedRate.mean(now), 1)
 	after := time.Duration(roundTrip / 4 * (0.5 + b.rng.Float64()) * float64(time.Second))
@@ -659,11 +658,13 @@
 		}
 		c.n = min(c.n+1, classMemory)
 		c.mean += (elapsed.Seconds() - c.mean) / c.n
-	case Error, Overloaded, Timeout, ConnectError, Reset:
-		e.failures.add(now)
+	case Error: // may be the fault of a tier behind, or come from all alike: one alone says little
+		e.failures.add(now, e.failures.count(now)+0.5)
+	case Overloaded, Timeout, ConnectError, Reset:
+		e.failures.add(now, 1)
 	}
 	if result == ConnectError || result == Timeout || result == Reset {
-		b.zoneFailures(e.Zone).add(now)
+		b.zoneFailures(e.Zone).add(now, 1)
 	}
 	if result == ConnectError {
 		b.noConn(e, now)
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -120,16 +120,14 @@
 	at time.Duration
 }
 
-func (f *failures) add(now time.Duration) {
-	f.n = min(f.count(now)+1, failureMost)
-	f.at = now
+func (f *failures) add(now time.Duration, n float64) {
+	f.n, f.at = min(f.count(now)+n, failureMost), now
 }
 
 // served halves the count. Were it cleared, an endpoint that fails three of four
 // calls, and those at once, would have its whole share back with each fourth:
-// it guards against endpoints that are sick rather than down, and against a
-// tier behind one of them. One that is sound again has its share back after a
-// few calls; where all endpoints spoil answers alike it moves some load about.
+// it guards against endpoints that are sick rather than down. One that is sound
+// again has its share back after a few calls.
 func (f *failures) served(now time.Duration) {
 	f.n, f.at = f.count(now)/2, now
 }
@@ -325,15 +323,18 @@
 		i := ring[(start+k)%len(ring)]
 		e := &b.eps[i]
 		zone := b.zoneFailures(e.Zone)
-		if e.failures.count(now) < 1 && zone.count(now) < zoneSuspect {
+		sound := e.failures.count(now) < 1
+		if sound && zone.count(now) < zoneSuspect {
 			want--
 		}
 		if reach == subset && r.tried(i) || reach < anyReady && !b.connectable(e, now) || !b.maySend(r, i, now) {
 			continue
 		}
 		m := e.mean(now) * b.crowding(e, among) * crossing
-		if m > 0 {
-			best = min(best, m/e.failures.chance(now)) // one that fails fast must not make the others look slow
+		if m > 0 && sound {
+			best = min(best, m)
+		} else if m > 0 { // one that fails fast must not make the others look slow
+			best = min(best, m/e.failures.chance(now))
 		}
 		b.cands = append(b.cands, candidate{index: i, mean: m, crossing: crossing})
 	}
