Name the module and the command gorselink

One name for the product that grows out of the sidecar. The module path and cmd/oatgw become gorselink; cmd/drill stays, deploy/balancer.toml names the same four parts. Nothing else moves.

--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"oatgw/balance"
+	"gorselink/balance"
 )
 
 // printer is the smallest Host: a sidecar would open connections and set
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"time"
 
-	"oatgw/balance"
-	"oatgw/internal/wire"
+	"gorselink/balance"
+	"gorselink/internal/wire"
 )
 
 func main() {
--- a/cmd/oatgw/main.go
+++ b/cmd/gorselink/main.go
@@ -1,4 +1,4 @@
-// Command oatgw is the sidecar: it balances the requests of its callers over
+// Command gorselink is the sidecar: it balances the requests of its callers over
 // the endpoints of one tier. The file that ROUTER_CONFIG names tells it all.
 package main
 
@@ -16,9 +16,9 @@
 	"syscall"
 	"time"
 
-	"oatgw/internal/config"
-	"oatgw/internal/sidecar"
-	"oatgw/internal/upstream"
+	"gorselink/internal/config"
+	"gorselink/internal/sidecar"
+	"gorselink/internal/upstream"
 )
 
 func main() {
@@ -28,7 +28,7 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	if err := run(ctx, os.Getenv("ROUTER_CONFIG"), reload); err != nil {
-		fmt.Fprintln(os.Stderr, "oatgw:", err)
+		fmt.Fprintln(os.Stderr, "gorselink:", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/oatgw/main_test.go
+++ b/cmd/gorselink/main_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"oatgw/internal/config"
+	"gorselink/internal/config"
 )
 
 // patience bounds every wait of these tests; a sound run needs far less.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,9 +11,9 @@
 	"strings"
 	"time"
 
-	"oatgw/balance"
-	"oatgw/internal/discovery"
-	"oatgw/internal/wire"
+	"gorselink/balance"
+	"gorselink/internal/discovery"
+	"gorselink/internal/wire"
 )
 
 // Config is what one sidecar is told.
--- a/internal/sidecar/answer.go
+++ b/internal/sidecar/answer.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"oatgw/internal/upstream"
+	"gorselink/internal/upstream"
 )
 
 // answer is what a caller is given.
--- a/internal/sidecar/caller.go
+++ b/internal/sidecar/caller.go
@@ -14,8 +14,8 @@
 	"sync"
 	"time"
 
-	"oatgw/balance"
-	"oatgw/internal/framing"
+	"gorselink/balance"
+	"gorselink/internal/framing"
 )
 
 const (
--- a/internal/sidecar/caller_test.go
+++ b/internal/sidecar/caller_test.go
@@ -12,8 +12,8 @@
 	"testing"
 	"time"
 
-	"oatgw/internal/config"
-	"oatgw/internal/discovery"
+	"gorselink/internal/config"
+	"gorselink/internal/discovery"
 )
 
 // rig is a sidecar between a test's callers and one endpoint of its own.
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"oatgw/balance"
-	"oatgw/internal/upstream"
+	"gorselink/balance"
+	"gorselink/internal/upstream"
 )
 
 const (
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -6,9 +6,9 @@
 	"math/rand/v2"
 	"time"
 
-	"oatgw/balance"
-	"oatgw/internal/discovery"
-	"oatgw/internal/upstream"
+	"gorselink/balance"
+	"gorselink/internal/discovery"
+	"gorselink/internal/upstream"
 )
 
 // Waits between calls of a pushing agent that fail: its first new answer
--- a/internal/sidecar/members_test.go
+++ b/internal/sidecar/members_test.go
@@ -10,9 +10,9 @@
 	"testing"
 	"time"
 
-	"oatgw/balance"
-	"oatgw/internal/config"
-	"oatgw/internal/upstream"
+	"gorselink/balance"
+	"gorselink/internal/config"
+	"gorselink/internal/upstream"
 )
 
 // patience bounds every wait of these tests; a sound run needs far less.
--- a/internal/sidecar/sick_test.go
+++ b/internal/sidecar/sick_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"oatgw/internal/discovery"
+	"gorselink/internal/discovery"
 )
 
 // An endpoint that fails three calls of four, and those faster than any good
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -11,9 +11,9 @@
 	"sync/atomic"
 	"time"
 
-	"oatgw/balance"
-	"oatgw/internal/config"
-	"oatgw/internal/upstream"
+	"gorselink/balance"
+	"gorselink/internal/config"
+	"gorselink/internal/upstream"
 )
 
 // Sidecar balances the requests before one tier.
--- a/internal/sidecar/stats.go
+++ b/internal/sidecar/stats.go
@@ -5,7 +5,7 @@
 	"log/slog"
 	"time"
 
-	"oatgw/balance"
+	"gorselink/balance"
 )
 
 // stats counts what happened since the last summary; Sidecar.mu guards it.
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -13,8 +13,8 @@
 	"strconv"
 	"time"
 
-	"oatgw/balance"
-	"oatgw/internal/framing"
+	"gorselink/balance"
+	"gorselink/internal/framing"
 )
 
 // Request is what an attempt sends.
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"oatgw/balance"
+	"gorselink/balance"
 )
 
 // patience bounds every wait of these tests; a sound run needs far less.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -8,7 +8,7 @@
 	"syscall"
 	"time"
 
-	"oatgw/internal/framing"
+	"gorselink/internal/framing"
 )
 
 // conn is a connection to an endpoint.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"oatgw/balance"
+	"gorselink/balance"
 )
 
 // Settings is the settings of an instance by path, and the first error met in
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"oatgw/balance"
+	"gorselink/balance"
 )
 
 // Kind is the type of an Event.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"oatgw/balance"
+	"gorselink/balance"
 )
 
 func readAll(text string) ([]Event, error) {
