--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -228,10 +228,9 @@
 
 // candidate is an endpoint that may take the attempt, with its chance.
 type candidate struct {
-	index    int
-	mean     float64
-	weight   float64
-	crossing float64 // what the mean is multiplied by for another zone
+	index  int
+	mean   float64
+	weight float64
 }
 
 // Where gather looks, each wider than the last.
@@ -250,12 +249,11 @@
 		want = b.subsetSize(now)
 	}
 	among := min(want, b.local) + min(want, len(b.ready)-b.local)
-	best := min(b.gatherFrom(b.ready[:b.local], r, now, reach, want, among, 1),
-		b.gatherFrom(b.ready[b.local:], r, now, reach, want, among, 1+b.cfg.CrossZonePrice*crossingWeight))
+	best := min(b.gatherFrom(b.ready[:b.local], r, now, reach, want, among), b.gatherFrom(b.ready[b.local:], r, now, reach, want, among))
 	for k := range b.cands {
 		c := &b.cands[k]
 		if c.mean == 0 {
-			c.mean = best * c.crossing // unsampled counts as t_b
+			c.mean = best * b.crossing(c.index) // unsampled counts as t_b
 		}
 		c.weight = 1
 		if c.mean > best {
@@ -316,7 +314,7 @@
 
 // gatherFrom adds the candidates of one part of the ring, from this balancer's
 // place on, until it holds want sound endpoints. It returns the lowest mean.
-func (b *Balancer) gatherFrom(ring []int, r *request, now time.Duration, reach, want, among int, crossing float64) float64 {
+func (b *Balancer) gatherFrom(ring []int, r *request, now time.Duration, reach, want, among int) float64 {
 	best := math.Inf(1)
 	start := b.cfg.Index * len(ring) / b.cfg.Instances
 	for k := 0; k < len(ring) && want > 0; k++ {
@@ -330,13 +328,13 @@
 		if reach == subset && r.tried(i) || reach < anyReady && !b.connectable(e, now) || !b.maySend(r, i, now) {
 			continue
 		}
-		m := e.mean(now) * b.crowding(e, among) * crossing
+		m := e.mean(now) * b.crowding(e, among) * b.crossing(i)
 		if m > 0 && sound {
 			best = min(best, m)
 		} else if m > 0 { // one that fails fast must not make the others look slow
 			best = min(best, m/e.failures.chance(now))
 		}
-		b.cands = append(b.cands, candidate{index: i, mean: m, crossing: crossing})
+		b.cands = append(b.cands, candidate{index: i, mean: m})
 	}
 	return best
 }
--- /dev/null
+++ b/cmd/gorselink/demo.go
@@ -0,0 +1,5 @@
+package main
+
+type demoCommand struct{}
+
+func (demoCommand) Run(s *shell) error { return nil }
--- /dev/null
+++ b/cmd/gorselink/serve.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"gorselink/internal/config"
+	"gorselink/internal/daemon"
+)
+
+type serveCommand struct {
+	Config string `required:"" short:"c" type:"path" help:"The configuration file."`
+}
+
+// Run serves until the end of the shell's context, and then until all that was
+// taken is answered.
+func (c *serveCommand) Run(s *shell) error {
+	cfg, err := config.LoadProduct(c.Config)
+	if err != nil {
+		return err
+	}
+	setProcess(cfg)
+	d, err := daemon.Start(cfg)
+	if err != nil {
+		return fmt.Errorf("gorselink: %w", err)
+	}
+	for _, l := range cfg.Listeners {
+		slog.Info("serving", "name", cfg.Process.Name, "listener", l.Name, "address", d.Addr(l.Name).String(), "form", l.Form)
+	}
+	serveOn(s.ctx, d, c.Config, s.reload)
+	slog.Info("draining")
+	d.Drain(comingTime, time.Now().Add(comingTime+cfg.LongestDeadline()+windDown))
+	return nil
+}
+
+// serveOn reads the file again at each reload until ctx ends.
+func serveOn(ctx context.Context, d *daemon.Daemon, path string, reload <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+		}
+		cfg, err := config.LoadProduct(path)
+		var changes []string
+		if err == nil {
+			changes, err = d.Apply(cfg)
+		}
+		if err != nil {
+			slog.Error("reload: the old configuration stands", "error", err)
+			continue
+		}
+		setProcess(cfg)
+		daemon.LogChanges(changes)
+	}
+}
+
+// setProcess gives the runtime its part of what the process has.
+func setProcess(cfg *config.Product) {
+	if n := cfg.Process.Cores; n > 0 {
+		runtime.GOMAXPROCS(n)
+	}
+	debug.SetMemoryLimit(int64(float64(cfg.Process.Memory) * heapShare))
+}
+
+type checkCommand struct {
+	File string `arg:"" type:"path" help:"The configuration file."`
+}
+
+// Run tells all that is wrong with the file.
+func (c *checkCommand) Run(s *shell) error {
+	cfg, err := config.LoadProduct(c.File)
+	if err == nil {
+		err = cfg.CheckFiles()
+	}
+	if err != nil {
+		var faults config.Faults
+		if errors.As(err, &faults) {
+			return fmt.Errorf("%w\n%s: %d faults", err, c.File, len(faults))
+		}
+		return err
+	}
+	fmt.Fprintf(s.out, "%s: good: %d listeners, %d routes, %d pools, %d classes\n", c.File, len(cfg.Listeners), len(cfg.Routes), len(cfg.Pools), len(cfg.Classes))
+	return nil
+}
--- a/internal/config/config.go
+++ b/internal/config/platform.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"gorselink/balance"
-	"gorselink/internal/discovery"
+	"gorselink/internal/nodes"
 	"gorselink/internal/wire"
 )
 
@@ -23,7 +23,7 @@
 	Discovery string
 	Seed      uint64
 	Limits    Limits
-	Known     discovery.List // the endpoints as last known, maybe outdated
+	Known     nodes.List // the endpoints as last known, maybe outdated
 
 	Tier        int
 	Balance     balance.Config
@@ -88,7 +88,7 @@
 		return nil, err
 	}
 	if len(f.Known) > 0 {
-		if c.Known, err = discovery.Decode(f.Known); err != nil {
+		if c.Known, err = nodes.Decode(f.Known); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
--- /dev/null
+++ b/internal/config/product.go
@@ -0,0 +1,590 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"gorselink/balance"
+	"gorselink/internal/nodes"
+	"gorselink/route"
+)
+
+// Product is the product's own configuration: many services in one process.
+// docs/operating.md tells every key with its unit and default.
+type Product struct {
+	Process   Process
+	Listeners []Listener // by name
+	Classes   []Class    // by name; the one called "default" is always there
+	Pools     []Pool     // by name
+	Routes    []Route    // in the order of the file
+}
+
+// Process is what the whole process has.
+type Process struct {
+	Name        string
+	Seed        uint64 // of all draws; 0 for one of the system's
+	Memory      int64  // bytes
+	Descriptors int
+	Cores       int // 0 for all there are
+	Instance    int // among Instances that serve the same
+	Instances   int
+}
+
+// Form is what a listener asks of a request.
+type Form string
+
+// The forms that there are.
+const (
+	Ordinary Form = "ordinary" // any HTTP/1.x client: the id is made, the class is the route's
+	Strict   Form = "platform" // id, budget and method by class, as the platform's protocol has it
+)
+
+// Listener is an address where callers come.
+type Listener struct {
+	Name        string
+	Address     string
+	Form        Form
+	ClassHeader string // names the class in the ordinary form; "" for none
+	Connections int
+	Hello       time.Duration
+	Request     time.Duration
+	Idle        time.Duration
+}
+
+// Class is a class of requests.
+type Class struct {
+	Name     string
+	ByMethod bool // Semantics follow from the method and from Idempotency-Key
+	balance.Class
+}
+
+// Pool is one service.
+type Pool struct {
+	Name           string
+	Nodes          Nodes
+	Zone           string
+	PreferZone     bool
+	Attempts       int
+	ConnectTimeout time.Duration
+	IdleTimeout    time.Duration
+	AnswerTime     time.Duration
+	WarmUp         time.Duration
+	ColdShare      float64
+
+	Share       float64 // of what the pools that name no limit have
+	Connections int
+	Requests    int
+	Memory      int64 // bytes
+	MaxBody     int64
+	MaxAnswer   int64
+}
+
+// Nodes says where the node list of a pool comes from: one of three.
+type Nodes struct {
+	Fixed     nodes.Fixed
+	File      string // path
+	Refresh   time.Duration
+	Discovery string // address
+}
+
+// Open returns a source that nobody else follows.
+func (n *Nodes) Open() nodes.Source {
+	switch {
+	case n.File != "":
+		return &nodes.File{Path: n.File, Every: n.Refresh}
+	case n.Discovery != "":
+		return nodes.NewDiscovery(n.Discovery, nodes.PushWait)
+	}
+	return n.Fixed
+}
+
+// String names the source; two of one name tell the same.
+func (n *Nodes) String() string { return n.Open().String() }
+
+// Known is what is known before the source has told anything.
+func (n *Nodes) Known() nodes.List {
+	return nodes.List{Snapshot: true, Undated: true, Endpoints: n.Fixed}
+}
+
+// Route sends what it matches to a pool.
+type Route struct {
+	Listeners []string // none for all
+	Host      string
+	Path      string
+	Methods   []string // none for any
+	IfClass   string   // the class that the request must name; "" for any
+	Pool      string
+	Class     string // what the requests are, unless they name their class
+}
+
+// Parts of what a process or a pool has. docs/pools.md tells why.
+const (
+	// OwnDescriptors are those not for connections of callers and nodes: logs,
+	// listeners, sources, the runtime's poller.
+	OwnDescriptors = 32
+
+	// callerMargin of a listener's connections is beyond all requests that the
+	// pools may hold open, so that there is always one that can give way to a
+	// new caller.
+	callerMargin = 0.2
+
+	// BodyShare, LargeShare and requestShare are the parts of a pool's memory
+	// for request bodies, for long answers and for the requests themselves.
+	BodyShare    = 4
+	LargeShare   = 4
+	requestShare = 2
+	// requestBytes is what an open request may hold beside its body and a long
+	// answer: an answer of 64 KiB, buffers on both sides, stacks.
+	requestBytes = 128 << 10
+
+	// fileLimit bounds a configuration file.
+	fileLimit = 4 << 20
+)
+
+// Defaults, as docs/operating.md has them.
+const (
+	defaultMemory      = 512 << 20
+	defaultDescriptors = 4096
+	defaultMaxBody     = 1 << 20
+	defaultMaxAnswer   = 1 << 20
+	defaultDeadline    = 10 * time.Second
+	defaultAim         = 2 * time.Second
+	defaultMemorySpan  = 30 * time.Second
+	defaultClass       = "default"
+)
+
+// LoadProduct reads the file at path. The error is Faults, or tells why the
+// file cannot be read.
+func LoadProduct(path string) (*Product, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	if info.Size() > fileLimit {
+		return nil, fmt.Errorf("configuration %s: %d bytes, want %d at most", path, info.Size(), fileLimit)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	return ParseProduct(path, text)
+}
+
+// ParseProduct reads the text of a file. Paths in it are relative to the folder
+// of file. A text with any fault gives none of a Product.
+func ParseProduct(file string, text []byte) (*Product, error) {
+	d, top, err := parse(file, text)
+	if err != nil {
+		return nil, err
+	}
+	c := &Product{}
+	c.process(top.table("process"))
+	c.classes(top)
+	c.listeners(top)
+	c.pools(top, filepath.Dir(file))
+	c.routes(top)
+	top.end()
+	if err := d.err(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// CheckFiles tells what is wrong with the files that the configuration names.
+func (c *Product) CheckFiles() error {
+	var errs []error
+	for i := range c.Pools {
+		if path := c.Pools[i].Nodes.File; path != "" {
+			if _, err := nodes.ReadFile(path); err != nil {
+				errs = append(errs, fmt.Errorf("pools.%s: nodes_file %s: %w", c.Pools[i].Name, path, err))
+			}
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// Class returns the class with this name, or nil.
+func (c *Product) Class(name string) *Class {
+	i, ok := slices.BinarySearchFunc(c.Classes, name, func(c Class, name string) int { return strings.Compare(c.Name, name) })
+	if !ok {
+		return nil
+	}
+	return &c.Classes[i]
+}
+
+// LongestDeadline is the longest time that any request is owed an answer in.
+func (c *Product) LongestDeadline() (d time.Duration) {
+	for i := range c.Classes {
+		d = max(d, c.Classes[i].Deadline)
+	}
+	return d
+}
+
+func (c *Product) process(t *table) {
+	host, _ := os.Hostname()
+	p := &c.Process
+	p.Name = t.text("name", host)
+	if s := t.text("seed", "0"); s != "0" {
+		var err error
+		if p.Seed, err = strconv.ParseUint(s, 16, 64); err != nil {
+			t.fault("seed", s, "a hexadecimal number of 64 bits")
+		}
+	}
+	p.Memory = t.bytes("memory", defaultMemory, 16<<20)
+	p.Descriptors = t.whole("descriptors", min(defaultDescriptors, allowed()), 128, 1<<20)
+	p.Cores = t.whole("cores", 0, 1, 1024)
+	p.Instances = t.whole("instances", 1, 1, 10000)
+	p.Instance = t.whole("instance", 0, 0, p.Instances-1)
+	t.end()
+}
+
+// allowed is how many descriptors the system lets the process have.
+func allowed() int {
+	var l syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil || l.Max > 1<<20 {
+		return 1 << 20
+	}
+	return max(128, int(l.Max))
+}
+
+func (c *Product) classes(top *table) {
+	names, subs := top.tables("classes")
+	if !slices.Contains(names, defaultClass) {
+		names = append(names, defaultClass)
+		slices.Sort(names)
+		subs[defaultClass] = &table{doc: top.doc, path: "classes.default", values: map[string]any{}}
+	}
+	for _, name := range names {
+		t := subs[name]
+		k := Class{Name: name}
+		switch t.oneOf("semantics", "by-method", "by-method", "safe", "keyed", "unsafe") {
+		case "by-method":
+			k.ByMethod = true
+		case "keyed":
+			k.Semantics = balance.Keyed
+		case "unsafe":
+			k.Semantics = balance.Unsafe
+		}
+		k.Deadline = t.time("deadline", defaultDeadline, time.Millisecond)
+		k.Aim = t.time("aim", min(defaultAim, k.Deadline), time.Millisecond)
+		if k.Aim > k.Deadline {
+			t.fault("aim", k.Aim, fmt.Sprintf("the deadline, %v, at most", k.Deadline))
+		}
+		k.Worth = t.number("worth", 1, 0, 1e6)
+		k.LateWorth = t.number("late_worth", 0.5, 0, 1)
+		k.MemorySpan = t.time("memory_span", defaultMemorySpan, time.Millisecond)
+		switch t.oneOf("key_scope", "all", "all", "zone", "cell") {
+		case "zone":
+			k.Scope = balance.ScopeZone
+		case "cell":
+			k.Scope = balance.ScopeCell
+		}
+		t.end()
+		c.Classes = append(c.Classes, k)
+	}
+}
+
+func (c *Product) listeners(top *table) {
+	names, subs := top.tables("listeners")
+	if len(names) == 0 {
+		top.fault("listeners", nil, "a table [listeners.NAME] with an address")
+	}
+	at := map[string]string{}
+	for _, name := range names {
+		t := subs[name]
+		l := Listener{Name: name}
+		if l.Address = t.text("address", ""); l.Address == "" && !t.has("address") {
+			t.fault("address", nil, "address:port")
+		} else if _, err := netip.ParseAddrPort(l.Address); err != nil && l.Address != "" {
+			t.fault("address", l.Address, "address:port")
+		} else if other, ok := at[l.Address]; ok && !strings.HasSuffix(l.Address, ":0") {
+			t.fault("address", l.Address, "another one than listeners."+other+" has")
+		}
+		at[l.Address] = name
+		l.Form = Form(t.oneOf("form", string(Ordinary), string(Ordinary), string(Strict)))
+		if l.ClassHeader = t.text("class_header", ""); l.ClassHeader != "" {
+			if !goodName(l.ClassHeader) {
+				t.fault("class_header", l.ClassHeader, "the name of a header field")
+			}
+			if l.Form == Strict {
+				t.fault("class_header", l.ClassHeader, "none with form = \"platform\", where the path names the class")
+			}
+		}
+		l.Connections = t.whole("connections", 0, 4, 1<<20)
+		l.Hello = t.time("hello_timeout", 2*time.Second, 10*time.Millisecond)
+		requestTime := 10 * time.Second
+		if l.Form == Strict {
+			requestTime = 2500 * time.Millisecond
+		}
+		l.Request = t.time("request_timeout", requestTime, 10*time.Millisecond)
+		l.Idle = t.time("idle_timeout", 10*time.Second, 10*time.Millisecond)
+		t.end()
+		c.Listeners = append(c.Listeners, l)
+	}
+	c.dealConnections(top)
+}
+
+// dealConnections gives the listeners that name no bound even shares of the
+// half of the descriptors that is for callers.
+func (c *Product) dealConnections(top *table) {
+	left, open := c.perSide(), 0
+	for i := range c.Listeners {
+		left -= c.Listeners[i].Connections
+		if c.Listeners[i].Connections == 0 {
+			open++
+		}
+	}
+	if left < 4*open || left < 0 {
+		top.fault("listeners", fmt.Sprintf("connections beyond the %d for callers", c.perSide()),
+			"fewer, or process.descriptors raised: half of them, less the process's own, are for callers")
+		left = max(left, 4*open)
+	}
+	for i := range c.Listeners {
+		if c.Listeners[i].Connections == 0 {
+			c.Listeners[i].Connections = left / open
+		}
+	}
+}
+
+// perSide is how many descriptors there are for callers, and for nodes.
+func (c *Product) perSide() int { return (c.Process.Descriptors - OwnDescriptors) / 2 }
+
+func (c *Product) pools(top *table, dir string) {
+	names, subs := top.tables("pools")
+	if len(names) == 0 {
+		top.fault("pools", nil, "a table [pools.NAME] with nodes")
+	}
+	for _, name := range names {
+		t := subs[name]
+		p := Pool{Name: name}
+		p.source(t, dir)
+		p.Zone = t.text("zone", "")
+		p.PreferZone = t.flag("prefer_own_zone", false)
+		if p.PreferZone && p.Zone == "" {
+			t.fault("prefer_own_zone", true, "a zone beside it")
+		}
+		p.Attempts = t.whole("attempts", 3, 1, 16)
+		p.ConnectTimeout = t.time("connect_timeout", 250*time.Millisecond, time.Millisecond)
+		p.IdleTimeout = t.time("idle_timeout", 30*time.Second, 10*time.Millisecond)
+		p.AnswerTime = t.time("answer_time", 5*time.Second, 10*time.Millisecond)
+		p.WarmUp = t.time("warm_up", 10*time.Second, 0)
+		p.ColdShare = t.number("cold_share", 0.3, 0.01, 1)
+		p.Share = t.number("share", 1, 0.001, 1e6)
+		p.Connections = t.whole("connections", 0, 1, 1<<20)
+		p.Requests = t.whole("requests", 0, 1, 1<<20)
+		p.Memory = t.bytes("memory", 0, 64<<10)
+		p.MaxBody = t.bytes("max_body", 0, 1)
+		p.MaxAnswer = t.bytes("max_answer", 0, 1)
+		c.Pools = append(c.Pools, p)
+	}
+	c.dealPools(top, subs)
+	for _, t := range subs {
+		t.end()
+	}
+}
+
+// source reads where the node list of a pool comes from.
+func (p *Pool) source(t *table, dir string) {
+	p.Nodes.Refresh = t.time("refresh", time.Second, 10*time.Millisecond)
+	given := 0
+	for _, key := range []string{"nodes", "nodes_file", "discovery"} {
+		if t.has(key) {
+			given++
+		}
+	}
+	if given != 1 {
+		var found any
+		if given > 1 {
+			found = fmt.Sprintf("%d of them", given)
+		}
+		t.fault("nodes", found, "one of nodes, nodes_file and discovery")
+	}
+	if list := t.texts("nodes"); t.has("nodes") {
+		var fixed nodes.Fixed
+		for i, s := range list {
+			e, err := nodes.ParseNode(strings.Fields(s))
+			if err != nil {
+				t.doc.fault(index(t.at("nodes"), i), show(s), "a node: "+err.Error())
+				continue
+			}
+			fixed = append(fixed, e)
+		}
+		if err := fixed.Check(); err != nil {
+			t.fault("nodes", err.Error(), "each node once")
+		}
+		if len(list) == 0 {
+			t.fault("nodes", "an empty list", "one node at least; nodes_file and discovery may be empty for a while")
+		}
+		p.Nodes.Fixed = fixed
+	}
+	if path := t.text("nodes_file", ""); path != "" {
+		if !filepath.IsAbs(path) {
+			path = filepath.Join(dir, path)
+		}
+		p.Nodes.File = path
+	}
+	if addr := t.text("discovery", ""); addr != "" {
+		if _, err := netip.ParseAddrPort(addr); err != nil {
+			t.fault("discovery", addr, "address:port")
+		}
+		p.Nodes.Discovery = addr
+	}
+}
+
+// dealPools gives the pools that name no limit their shares of what the others
+// leave. All shares together are never more than there is: what a pool has, no
+// other pool can take.
+func (c *Product) dealPools(top *table, subs map[string]*table) {
+	least := 1 << 30
+	for i := range c.Listeners {
+		least = min(least, c.Listeners[i].Connections)
+	}
+	requests := int(float64(least) * (1 - callerMargin))
+	deal(c, top, "connections", int64(c.perSide()), "connections to nodes", func(p *Pool) *int { return &p.Connections })
+	deal(c, top, "memory", c.Process.Memory, "bytes of process.memory", func(p *Pool) *int64 { return &p.Memory })
+	asked := make([]int, len(c.Pools))
+	for i := range c.Pools {
+		asked[i] = c.Pools[i].Requests
+	}
+	deal(c, top, "requests", int64(requests), "requests, four fifths of what the smallest listener has connections for", func(p *Pool) *int { return &p.Requests })
+	for i := range c.Pools {
+		p, t := &c.Pools[i], subs[c.Pools[i].Name]
+		room := max(1, int(p.Memory/requestShare/requestBytes))
+		if asked[i] > room {
+			t.fault("requests", asked[i], fmt.Sprintf("%d at most with a memory of %s", room, size(p.Memory)))
+		} else if asked[i] == 0 {
+			p.Requests = max(1, min(p.Requests, p.Connections, room))
+		}
+		p.fit(t, "max_body", &p.MaxBody, defaultMaxBody, p.Memory/BodyShare)
+		p.fit(t, "max_answer", &p.MaxAnswer, defaultMaxAnswer, p.Memory/LargeShare/2)
+	}
+}
+
+// fit checks a size against the room that the pool's memory leaves for it, or
+// gives the default.
+func (p *Pool) fit(t *table, key string, have *int64, without, room int64) {
+	if *have == 0 {
+		*have = min(without, room)
+	} else if *have > room {
+		t.fault(key, size(*have), fmt.Sprintf("%s at most: a memory of %s has room for no more", size(room), size(p.Memory)))
+	}
+}
+
+// deal gives each pool without a limit its share of what there is.
+func deal[N int | int64](c *Product, top *table, key string, all int64, what string, of func(*Pool) *N) {
+	left, shares := all, 0.0
+	for i := range c.Pools {
+		p := &c.Pools[i]
+		if n := *of(p); n > 0 {
+			left -= int64(n)
+		} else {
+			shares += p.Share
+		}
+	}
+	if left < 0 || shares > 0 && left < int64(len(c.Pools)) {
+		top.fault("pools", fmt.Sprintf("%s that take %d of %d", key, all-left, all), "no more than there are "+what)
+		left = max(left, int64(len(c.Pools)))
+	}
+	for i := range c.Pools {
+		if p := &c.Pools[i]; *of(p) == 0 {
+			*of(p) = max(1, N(float64(left)*p.Share/shares))
+		}
+	}
+}
+
+func (c *Product) routes(top *table) {
+	list := top.list("routes")
+	if !top.has("routes") || len(list) == 0 {
+		top.fault("routes", nil, "a table [[routes]] with a pool")
+	}
+	for _, t := range list {
+		r := Route{
+			Listeners: t.texts("listeners"),
+			Host:      t.text("host", ""),
+			Path:      t.text("path", ""),
+			Methods:   t.texts("methods"),
+			IfClass:   t.text("if_class", ""),
+			Pool:      t.text("pool", ""),
+			Class:     t.text("class", defaultClass),
+		}
+		if r.Pool == "" && !t.has("pool") {
+			t.fault("pool", nil, "the name of a pool")
+		} else if !slices.ContainsFunc(c.Pools, func(p Pool) bool { return p.Name == r.Pool }) && r.Pool != "" {
+			t.fault("pool", r.Pool, "a pool that there is")
+		}
+		for _, k := range []struct{ key, name string }{{"class", r.Class}, {"if_class", r.IfClass}} {
+			if k.name != "" && c.Class(k.name) == nil {
+				t.fault(k.key, k.name, "a class that there is")
+			}
+		}
+		for i, name := range r.Listeners {
+			if !slices.ContainsFunc(c.Listeners, func(l Listener) bool { return l.Name == name }) {
+				t.doc.fault(index(t.at("listeners"), i), show(name), "a listener that there is")
+			}
+		}
+		if t.has("methods") && len(r.Methods) == 0 {
+			t.fault("methods", "an empty list", "methods, or no such key for any")
+		}
+		t.end()
+		c.Routes = append(c.Routes, r)
+	}
+	told := map[string]bool{}
+	for _, l := range c.Listeners {
+		if _, err := c.Table(l.Name); err != nil {
+			c.routeFaults(top, l.Name, err, told)
+		}
+	}
+}
+
+// routeFaults books what is wrong with the routes of a listener, each once.
+func (c *Product) routeFaults(top *table, listener string, err error, told map[string]bool) {
+	joined, _ := err.(interface{ Unwrap() []error })
+	rules := c.rules(listener)
+	for _, err := range joined.Unwrap() {
+		path, found, want := "", "", ""
+		var conflict *route.Conflict
+		var invalid *route.Invalid
+		switch {
+		case errors.As(err, &conflict):
+			path = index("routes", rules[conflict.Second].Target)
+			found = "just what " + index("routes", rules[conflict.First].Target) + " matches"
+			want = "a host, path, method or class that tells them apart"
+		case errors.As(err, &invalid):
+			path = join(index("routes", rules[invalid.Rule].Target), strings.Replace(invalid.Field, "method", "methods", 1))
+			found, want = invalid.Err.Error(), "one that a request can have"
+		}
+		if !told[path] {
+			told[path] = true
+			top.doc.fault(path, found, want)
+		}
+	}
+}
+
+// Table is the routing table of a listener. Its targets are places in Routes.
+func (c *Product) Table(listener string) (*route.Table, error) {
+	return route.New(c.rules(listener))
+}
+
+func (c *Product) rules(listener string) (rules []route.Rule) {
+	for i, r := range c.Routes {
+		if len(r.Listeners) > 0 && !slices.Contains(r.Listeners, listener) {
+			continue
+		}
+		rule := route.Rule{Host: r.Host, Path: r.Path, Class: r.IfClass, Target: i}
+		if len(r.Methods) == 0 {
+			rules = append(rules, rule)
+		}
+		for _, rule.Method = range r.Methods {
+			rules = append(rules, rule)
+		}
+	}
+	return rules
+}
--- /dev/null
+++ b/internal/daemon/apply.go
@@ -0,0 +1,464 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"gorselink/balance"
+	"gorselink/internal/config"
+	httpfront "gorselink/internal/front/http"
+	"gorselink/internal/pool"
+	"gorselink/internal/upstream"
+)
+
+// plan is the way from the configuration in force to the next one. prepare
+// makes all that is new beside the old and can fail; commit cannot.
+type plan struct {
+	d        *Daemon
+	cfg      *config.Product
+	services map[string]*service
+	fresh    []*service // of services, made by this plan
+	replaced map[string]*service
+	revived  []*service
+	opened   []*listener
+	tables   map[string]*httpfront.Table
+	changes  []string
+}
+
+func newPlan(d *Daemon, cfg *config.Product) *plan {
+	return &plan{d: d, cfg: cfg, services: map[string]*service{}, replaced: map[string]*service{}, tables: map[string]*httpfront.Table{}}
+}
+
+// prepare makes pools, sockets and tables. Nothing that serves is touched, but
+// that pools learn of new classes, which harms none.
+func (p *plan) prepare() error {
+	for i := range p.cfg.Pools {
+		if err := p.service(&p.cfg.Pools[i]); err != nil {
+			return err
+		}
+	}
+	for i := range p.cfg.Listeners {
+		l := &p.cfg.Listeners[i]
+		table, err := p.table(l.Name)
+		if err != nil {
+			return err
+		}
+		p.tables[l.Name] = table
+		if old := p.d.listeners[l.Name]; old != nil && sameListener(&old.cfg, l) {
+			continue
+		}
+		if err := p.open(l, table); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// undo lets go of what prepare has made.
+func (p *plan) undo() {
+	for _, l := range p.opened {
+		l.l.Close()
+	}
+	for _, s := range p.fresh {
+		s.sharing = p.replaced[s.cfg.Name] != nil
+		s.end()
+	}
+}
+
+// sameListener tells whether a listener that serves can go on under l: what
+// differs can be changed in place.
+func sameListener(old, l *config.Listener) bool {
+	a, b := *old, *l
+	a.Connections, b.Connections = 0, 0
+	return a == b
+}
+
+// open makes a listener. One that takes the address of another, which is to
+// end, takes over its socket: there is no moment without one.
+func (p *plan) open(c *config.Listener, t *httpfront.Table) error {
+	l := &listener{cfg: *c}
+	var err error
+	if old := p.holds(c); old != nil {
+		l.l, err = duplicate(old.l)
+	} else {
+		l.l, err = listen(c.Address)
+	}
+	if err != nil {
+		return fmt.Errorf("listeners.%s: %w", c.Name, err)
+	}
+	l.judge = httpfront.NewRouted(t, c.Form == config.Strict, c.ClassHeader, p.d.keys, 2*p.cfg.LongestDeadline())
+	l.callers = httpfront.NewCallers(l.judge, c.Connections, httpfront.Times{Hello: c.Hello, Request: c.Request, Idle: c.Idle})
+	l.callers.Remote = c.Form == config.Ordinary
+	p.opened = append(p.opened, l)
+	return nil
+}
+
+// holds is the listener that has the address of c now. As no two of the new
+// configuration have one address, it is to end.
+func (p *plan) holds(c *config.Listener) *listener {
+	for _, l := range p.d.listeners {
+		if l.cfg.Address == c.Address && (l.cfg.Name == c.Name || !strings.HasSuffix(c.Address, ":0")) {
+			return l
+		}
+	}
+	return nil
+}
+
+// service finds the pool that goes on under c, or makes one.
+func (p *plan) service(c *config.Pool) error {
+	old := p.d.services[c.Name]
+	if old == nil {
+		// One that still drains knows its nodes and its keys.
+		for _, s := range p.d.retired {
+			if s.cfg.Name == c.Name && p.goesOn(s, c) && !s.sharing {
+				old = s
+			}
+		}
+		if old != nil {
+			p.revived = append(p.revived, old)
+		}
+	}
+	if old != nil && p.goesOn(old, c) {
+		p.services[c.Name] = old
+		return nil
+	}
+	known := c.Nodes.Known()
+	var conns *upstream.Pool
+	if old != nil && sameConns(&old.cfg, c) {
+		// The connections go on, so the new Balancer starts from the list that
+		// the old one has, and hears of another one once it runs.
+		conns, known = old.pool.Conns(), old.pool.List()
+	} else {
+		conns = newConns(c, 0) // granted once the others have made room
+	}
+	made, err := pool.New(pool.Config{
+		Name:    c.Name,
+		Seed:    seedOf(p.cfg, c.Name),
+		Balance: balancing(p.cfg, c),
+		OwnZone: c.Zone,
+		Known:   known,
+		Source:  c.Nodes.Open(),
+		Limits:  limits(c),
+	}, conns)
+	if err != nil {
+		return err
+	}
+	s := &service{cfg: *c, pool: made, cancel: func() {}}
+	if old != nil {
+		p.replaced[c.Name] = old
+	}
+	p.services[c.Name] = s
+	p.fresh = append(p.fresh, s)
+	return nil
+}
+
+// mostClasses bounds the classes that a Balancer knows, used or not: a pool that
+// has been through many changes of classes starts anew.
+const mostClasses = 96
+
+// goesOn tells whether a pool can go on under c.
+func (p *plan) goesOn(s *service, c *config.Pool) bool {
+	return sameBalance(&s.cfg, c) && s.pool.Classes() < mostClasses+3*len(p.cfg.Classes)
+}
+
+// sameBalance tells whether what differs between a and b can be changed while
+// the pool serves.
+func sameBalance(a, b *config.Pool) bool {
+	return a.Zone == b.Zone && a.PreferZone == b.PreferZone && a.Attempts == b.Attempts &&
+		a.WarmUp == b.WarmUp && a.ColdShare == b.ColdShare && sameConns(a, b)
+}
+
+func sameConns(a, b *config.Pool) bool {
+	return a.ConnectTimeout == b.ConnectTimeout && a.IdleTimeout == b.IdleTimeout &&
+		a.AnswerTime == b.AnswerTime && a.MaxAnswer == b.MaxAnswer
+}
+
+func limits(c *config.Pool) pool.Limits {
+	return pool.Limits{Requests: c.Requests, BodyBytes: c.Memory / config.BodyShare}
+}
+
+// zonePrice makes a node of another zone read twice as slow.
+const zonePrice = 0.01
+
+// overloadFor is the span over which a cold node's load is judged.
+const overloadFor = 3 * time.Second
+
+// balancing is what the Balancer of a pool is told.
+func balancing(cfg *config.Product, c *config.Pool) balance.Config {
+	b := balance.Config{
+		Index:        cfg.Process.Instance,
+		Instances:    cfg.Process.Instances,
+		Entry:        true,
+		AttemptLimit: c.Attempts,
+		ColdShare:    c.ColdShare,
+		RampTime:     c.WarmUp,
+		OverloadFor:  overloadFor,
+		ConnIdle:     c.IdleTimeout,
+		Multiplex:    1,
+	}
+	if c.PreferZone {
+		b.CrossZonePrice = zonePrice
+	}
+	for _, r := range cfg.Routes {
+		if r.Pool == c.Name {
+			for _, form := range forms(cfg.Class(r.Class)) {
+				if !slices.Contains(b.Classes, form) {
+					b.Classes = append(b.Classes, form)
+				}
+			}
+		}
+	}
+	if len(b.Classes) == 0 { // no route leads here yet
+		f := forms(cfg.Class("default"))
+		b.Classes = f[:1]
+	}
+	return b
+}
+
+// forms are the classes that a Balancer knows a class by.
+func forms(c *config.Class) (all [3]balance.Class) {
+	for i := range all {
+		all[i] = c.Class
+		if c.ByMethod {
+			all[i].Semantics = balance.Semantics(i)
+		}
+		if all[i].Semantics != balance.Keyed {
+			all[i].Scope, all[i].MemorySpan = 0, 0
+		}
+	}
+	return all
+}
+
+// table makes the routing table of a listener.
+func (p *plan) table(name string) (*httpfront.Table, error) {
+	routes, err := p.cfg.Table(name)
+	if err != nil {
+		return nil, fmt.Errorf("listeners.%s: %w", name, err)
+	}
+	t := &httpfront.Table{Routes: routes, Named: map[string]bool{}, Pool: p.d.Pool}
+	for i := range p.cfg.Classes {
+		t.Named[p.cfg.Classes[i].Name] = true
+	}
+	named := map[string]map[string]*httpfront.Class{} // by pool
+	for _, r := range p.cfg.Routes {
+		s := p.services[r.Pool]
+		if named[r.Pool] == nil {
+			named[r.Pool] = map[string]*httpfront.Class{}
+		}
+		if _, err := p.class(named[r.Pool], s.pool, r.Class); err != nil {
+			return nil, err
+		}
+		if p.namesClasses(name) {
+			for i := range p.cfg.Classes {
+				if _, err := p.class(named[r.Pool], s.pool, p.cfg.Classes[i].Name); err != nil {
+					return nil, err
+				}
+			}
+		}
+		t.Targets = append(t.Targets, httpfront.Target{
+			Pool:    s.pool,
+			Class:   named[r.Pool][r.Class],
+			Named:   named[r.Pool],
+			MaxBody: p.poolConfig(r.Pool).MaxBody,
+		})
+	}
+	return t, nil
+}
+
+// namesClasses tells whether requests on a listener can name their class.
+func (p *plan) namesClasses(listener string) bool {
+	for _, l := range p.cfg.Listeners {
+		if l.Name == listener {
+			return l.Form == config.Strict || l.ClassHeader != ""
+		}
+	}
+	return false
+}
+
+func (p *plan) poolConfig(name string) *config.Pool {
+	for i := range p.cfg.Pools {
+		if p.cfg.Pools[i].Name == name {
+			return &p.cfg.Pools[i]
+		}
+	}
+	return nil
+}
+
+// class is a class as requests to a pool have it, made once for each pool.
+func (p *plan) class(made map[string]*httpfront.Class, to *pool.Pool, name string) (*httpfront.Class, error) {
+	if c := made[name]; c != nil {
+		return c, nil
+	}
+	def := p.cfg.Class(name)
+	c := &httpfront.Class{Name: name, ByMethod: def.ByMethod, Forms: forms(def)}
+	for i, form := range c.Forms {
+		var err error
+		if c.Numbers[i], err = to.Class(form); err != nil {
+			return nil, fmt.Errorf("classes.%s: %w", name, err)
+		}
+	}
+	made[name] = c
+	return c, nil
+}
+
+// commit takes up what prepare has made and tells what has changed.
+func (p *plan) commit() []string {
+	d, span := p.d, keySpan(p.cfg)
+	d.keys.SetSpan(span)
+	p.commitServices(time.Now().Add(span))
+	for _, l := range p.opened {
+		l.serve()
+	}
+	for i := range p.cfg.Listeners {
+		c := &p.cfg.Listeners[i]
+		if l := d.listeners[c.Name]; l != nil && sameListener(&l.cfg, c) {
+			if l.cfg.Connections != c.Connections {
+				p.say("listener %s: %d connections, had %d", c.Name, c.Connections, l.cfg.Connections)
+				l.callers.Limit(c.Connections)
+			}
+			l.cfg = *c
+			l.judge.Set(p.tables[c.Name], span)
+		}
+	}
+	p.commitListeners()
+	p.sayRoutes()
+	d.cfg = p.cfg
+	return p.changes
+}
+
+func (p *plan) say(format string, args ...any) {
+	p.changes = append(p.changes, fmt.Sprintf(format, args...))
+}
+
+// commitServices starts the new pools and retires those that nothing leads to
+// any more.
+func (p *plan) commitServices(until time.Time) {
+	d := p.d
+	for _, s := range p.revived {
+		d.retired = slices.DeleteFunc(d.retired, func(o *service) bool { return o == s })
+		s.pool.Revive()
+		d.services[s.cfg.Name] = s
+		p.say("pool %s: back before it had drained", s.cfg.Name)
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.services)) {
+		old, next := d.services[name], p.services[name]
+		if next == old {
+			p.adjust(old)
+			continue
+		}
+		old.pool.Retire()
+		old.until = until
+		if next == nil {
+			p.say("pool %s: removed, drains", name)
+		} else {
+			p.say("pool %s: starts anew, the old one drains", name)
+			old.sharing = next.pool.Conns() == old.pool.Conns()
+			old.pool.Move(next.cfg.Nodes.Open()) // it must hear of drains to the end
+		}
+		d.retired = append(d.retired, old)
+	}
+	for _, s := range p.fresh {
+		if p.replaced[s.cfg.Name] == nil {
+			p.say("pool %s: new, %s", s.cfg.Name, &s.cfg.Nodes)
+		}
+		var ctx context.Context
+		ctx, s.cancel = context.WithCancel(d.ctx)
+		go s.pool.Run(ctx)
+		d.names.Store(s.cfg.Name, s.pool)
+	}
+	d.services = p.services
+	d.grant()
+}
+
+// adjust gives a pool that stays its new limits and its new source.
+func (p *plan) adjust(s *service) {
+	c := p.poolConfig(s.cfg.Name)
+	old := s.cfg
+	s.cfg = *c
+	for _, n := range []struct {
+		what     string
+		had, has any
+	}{
+		{"requests", old.Requests, c.Requests},
+		{"connections", old.Connections, c.Connections},
+		{"bytes of memory", old.Memory, c.Memory},
+		{"bytes of the longest body", old.MaxBody, c.MaxBody},
+		{"nodes from", old.Nodes.String(), c.Nodes.String()},
+	} {
+		if n.had != n.has {
+			p.say("pool %s: %s %v, had %v", c.Name, n.what, n.has, n.had)
+		}
+	}
+	s.pool.Limit(limits(c))
+	if old.Memory != c.Memory {
+		s.pool.Conns().Limit(s.pool.Conns().Bound(), c.Memory/config.LargeShare)
+	}
+	if old.Nodes.String() != c.Nodes.String() {
+		s.pool.Move(c.Nodes.Open())
+	}
+}
+
+// commitListeners puts the new listeners in the place of the old ones, which
+// let go of their callers as no request is open on them.
+func (p *plan) commitListeners() {
+	d := p.d
+	for _, name := range slices.Sorted(maps.Keys(d.listeners)) {
+		old := d.listeners[name]
+		stays := slices.ContainsFunc(p.cfg.Listeners, func(c config.Listener) bool { return c.Name == name && sameListener(&old.cfg, &c) })
+		if stays {
+			continue
+		}
+		old.l.Close()
+		delete(d.listeners, name)
+		p.say("listener %s: %s is let go of", name, old.cfg.Address)
+		if t := p.tables[name]; t != nil {
+			last := *t
+			old.judge.Set(&last, keySpan(p.cfg)) // for the last requests that come there
+		}
+		go old.callers.Drain(time.Now().Add(d.cfg.LongestDeadline() + time.Minute))
+	}
+	for _, l := range p.opened {
+		d.listeners[l.cfg.Name] = l
+		p.say("listener %s: %s, form %s", l.cfg.Name, l.l.Addr(), l.cfg.Form)
+	}
+}
+
+// sayRoutes tells which routes have come and gone.
+func (p *plan) sayRoutes() {
+	text := func(r config.Route) string {
+		return strings.Join(strings.Fields(fmt.Sprintf("%s%s %s %s %s", r.Host, r.Path, strings.Join(r.Methods, ","), r.IfClass, strings.Join(r.Listeners, ","))), " ")
+	}
+	was, is := map[string]config.Route{}, map[string]bool{}
+	for _, r := range p.d.cfg.Routes {
+		was[text(r)] = r
+	}
+	for _, r := range p.cfg.Routes {
+		is[text(r)] = true
+		switch old, ok := was[text(r)]; {
+		case !ok:
+			p.say("route %q: new, to pool %s as %s", text(r), r.Pool, r.Class)
+		case old.Pool != r.Pool || old.Class != r.Class:
+			p.say("route %q: to pool %s as %s, was %s as %s", text(r), r.Pool, r.Class, old.Pool, old.Class)
+		}
+	}
+	for _, r := range p.d.cfg.Routes {
+		if !is[text(r)] {
+			p.say("route %q: removed", text(r))
+		}
+	}
+}
+
+// LogChanges logs one line for each change.
+func LogChanges(changes []string) {
+	for _, c := range changes {
+		slog.Info("reload", "change", c)
+	}
+	if len(changes) == 0 {
+		slog.Info("reload: nothing has changed")
+	}
+}
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -54,7 +54,7 @@
 // Check tells what is wrong with the lines of a whole head, or nil.
 func Check(head []byte) error {
 	lines := strings.Split(strings.TrimSuffix(string(head), "\r\n\r\n"), "\r\n")
-	lengths, codings := 0, 0
+	lengths, codings, hosts := 0, 0, 0
 	for i, line := range lines {
 		if strings.ContainsAny(line, "\r\n\x00") {
 			return errors.New("head: a line ends in a bare CR or LF, or holds NUL")
@@ -73,6 +73,8 @@
 			if !digits(value) {
 				return fmt.Errorf("Content-Length %.40q, want a number", value)
 			}
+		case "host":
+			hosts++
 		case "transfer-encoding":
 			codings++
 			if !strings.EqualFold(value, "chunked") {
@@ -83,6 +85,12 @@
 	if lengths+codings > 1 {
 		return errors.New("the length is given more than once")
 	}
+	if hosts > 1 {
+		return errors.New("Host is given more than once") // RFC 9112, section 3.2
+	}
+	if codings > 0 && strings.HasSuffix(lines[0], "HTTP/1.0") {
+		return errors.New("Transfer-Encoding in HTTP/1.0") // section 6.1
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/front/http/body.go
@@ -0,0 +1,95 @@
+package httpfront
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"gorselink/internal/limit"
+)
+
+var (
+	errBodyLong = errors.New("body is too long")
+	errBodyRoom = errors.New("no room for the body")
+)
+
+// firstChunk is what a body without a length is given room for at first; it
+// grows to twice as much, and again, up to what is allowed.
+const firstChunk = 64 << 10
+
+// body is a whole request body.
+type body struct {
+	data []byte
+	room limit.Hold
+}
+
+// release gives the memory back.
+func (b *body) release() {
+	b.data = nil
+	b.room.Release()
+}
+
+// readBody reads the body of req to its end. One that is longer than most, or
+// finds no room in the budget, is not read. One that could never find room is
+// too long.
+func readBody(req *http.Request, budget *limit.Bytes, most int64) (*body, error) {
+	most = min(most, budget.Total())
+	b, n := &body{}, req.ContentLength
+	switch {
+	case n == 0:
+		return b, nil
+	case n > most:
+		return nil, fmt.Errorf("%w: %d bytes, want %d at most", errBodyLong, n, most)
+	case n < 0: // chunked: how long shows at its end
+		n = min(firstChunk, most)
+	}
+	var ok bool
+	if b.room, ok = budget.Reserve(n); !ok {
+		return nil, errBodyRoom
+	}
+	var err error
+	if req.ContentLength > 0 {
+		b.data = make([]byte, n)
+		if _, err = io.ReadFull(req.Body, b.data); err != nil {
+			err = fmt.Errorf("body: %w", err)
+		}
+	} else {
+		err = b.readChunks(req.Body, n, most)
+	}
+	if err != nil {
+		b.release()
+		return nil, err
+	}
+	b.room.Shrink(int64(len(b.data)))
+	return b, nil
+}
+
+// readChunks reads to the end of in, with room for n bytes at first.
+func (b *body) readChunks(in io.Reader, n, most int64) error {
+	b.data = make([]byte, 0, n)
+	for {
+		into := b.data[len(b.data):n]
+		if len(into) == 0 && n == most {
+			into = make([]byte, 1) // one more is too much
+		} else if len(into) == 0 {
+			n = min(2*n, most)
+			if !b.room.Grow(n) {
+				return errBodyRoom
+			}
+			b.data = append(make([]byte, 0, n), b.data...)
+			continue
+		}
+		k, err := in.Read(into)
+		if int64(len(b.data)+k) > most {
+			return fmt.Errorf("%w: over %d bytes", errBodyLong, most)
+		}
+		b.data = b.data[:len(b.data)+k]
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("body: %w", err)
+		}
+	}
+}
--- a/internal/sidecar/caller.go
+++ b/internal/front/http/caller.go
@@ -1,7 +1,8 @@
-package sidecar
+package httpfront
 
 import (
 	"bufio"
+	"cmp"
 	"container/list"
 	"errors"
 	"io"
@@ -14,23 +15,38 @@
 	"sync"
 	"time"
 
-	"gorselink/balance"
 	"gorselink/internal/framing"
+	"gorselink/internal/pool"
 )
 
+// Times bound how long a connection may do nothing. The zero value has the
+// platform's.
+type Times struct {
+	// Hello is how long a connection may stand before its first request; who
+	// says nothing is owed a close within 3 s. 2 s by default.
+	Hello time.Duration
+	// Request is what a request gets from its first byte to its last, for the
+	// first one counted from when the connection came. By default it is what
+	// is owed, 3 s, less time to answer; it bounds slow heads and stalled
+	// bodies alike. 2.5 s by default.
+	Request time.Duration
+	// Idle is how long a connection may stand between requests. Callers may be
+	// closed on after 2 s; most come again sooner, and a new connection costs
+	// both sides more than an old one that waits. 10 s by default.
+	Idle time.Duration
+}
+
 const (
-	// helloTime is how long a connection may stand before its first request;
-	// who says nothing is owed a close within 3 s.
-	helloTime = 2 * time.Second
-	// requestTime is what a request gets from its first byte to its last, for
-	// the first one counted from when the connection came. It is what is owed,
-	// 3 s, less time to answer, and bounds slow heads and stalled bodies alike.
+	helloTime   = 2 * time.Second
 	requestTime = 2500 * time.Millisecond
-	// idleTime is how long a connection may stand between requests. Callers may
-	// be closed on after 2 s; most come again sooner, and a new connection
-	// costs both sides more than an old one that waits.
-	idleTime = 10 * time.Second
+	idleTime    = 10 * time.Second
+)
 
+func (t Times) orDefault() Times {
+	return Times{Hello: cmp.Or(t.Hello, helloTime), Request: cmp.Or(t.Request, requestTime), Idle: cmp.Or(t.Idle, idleTime)}
+}
+
+const (
 	// unread is how long a caller may leave its answer unread. It guards
 	// against callers that stop reading, each of which would hold its
 	// connection for good.
@@ -67,6 +83,7 @@
 	gone    chan struct{} // closed when the connection is given up for another
 	done    chan struct{} // closed when its descriptor is free
 	rejects int           // in a row
+	remote  string        // address of the caller, if Callers.Remote
 
 	state state         // guarded by Callers.mu, as is
 	place *list.Element // where it stands in its state; nil when given up
@@ -76,7 +93,12 @@
 	if tc, ok := nc.(*net.TCPConn); ok {
 		tc.SetReadBuffer(callerBuffer)
 	}
+	remote := ""
+	if cs.Remote {
+		remote, _, _ = net.SplitHostPort(nc.RemoteAddr().String())
+	}
 	return &caller{
+		remote:  remote,
 		callers: cs,
 		conn:    nc,
 		in:      bufio.NewReaderSize(nc, framing.MaxHead),
@@ -95,10 +117,11 @@
 			slog.Error("a connection ended by a fault", "error", e, "stack", string(debug.Stack()))
 		}
 	}()
-	wait, until, end := unproven, c.born.Add(helloTime), c.born.Add(requestTime)
+	times := &c.callers.times
+	wait, until, end := unproven, c.born.Add(times.Hello), c.born.Add(times.Request)
 	for c.await(wait, until) {
 		if wait != unproven {
-			end = time.Now().Add(requestTime)
+			end = time.Now().Add(times.Request)
 		}
 		served, goesOn := c.one(end)
 		if !goesOn {
@@ -109,11 +132,11 @@
 		}
 		// One that only asked whether the sidecar is ready, or was turned
 		// away, is no better than one that says nothing.
-		until = time.Now().Add(helloTime)
+		until = time.Now().Add(times.Hello)
 		if wait == idle {
-			until = time.Now().Add(idleTime)
+			until = time.Now().Add(times.Idle)
 		}
-		end = time.Now().Add(helloTime + requestTime)
+		end = time.Now().Add(times.Hello + times.Request)
 	}
 }
 
@@ -159,23 +182,24 @@
 		c.reject(http.StatusBadRequest, err)
 		return false, false
 	}
-	if req.ProtoMajor != 1 || req.Host == "" {
-		c.reject(http.StatusBadRequest, errors.New("want HTTP/1.1 and a Host"))
-		return false, false
-	}
-	s := c.callers.s
+	j := c.callers.judge
+	req.RemoteAddr = c.remote
 	if req.URL.Path == readyPath && req.ContentLength == 0 {
-		return false, c.give(req, answer{status: s.ready()}, true)
+		return false, c.give(req, answer{status: j.Ready()}, true)
 	}
-	p, status, err := s.plan(req)
-	if err != nil {
-		return false, c.turnAway(req, status, err)
+	p, wrong := j.Judge(req)
+	if wrong != nil {
+		return false, c.turnAway(req, wrong.Status, wrong.Err)
+	}
+	if p.Pool.Full() {
+		p.Pool.NoteFull()
+		return false, c.full(req, p)
 	}
-	if err := c.expected(req); err != nil {
+	if err := c.expected(req, p.MaxBody); err != nil {
 		c.reject(http.StatusExpectationFailed, err)
 		return false, false
 	}
-	body, err := s.bodies.read(req)
+	body, err := readBody(req, p.Pool.Bodies(), p.MaxBody)
 	switch {
 	case errors.Is(err, errBodyLong):
 		c.reject(http.StatusRequestEntityTooLarge, err)
@@ -201,8 +225,19 @@
 	return c.carry(req, p, body)
 }
 
+// full answers a request to a pool that has no room for it, at once: whoever
+// waited here would hold a connection that another pool's callers may need.
+func (c *caller) full(req *http.Request, p *Plan) (goesOn bool) {
+	a := answer{status: http.StatusServiceUnavailable, text: pool.ErrFull.Error(), retryAfter: p.Pool.RetryAfter(), whole: p.Ordinary}
+	if req.ContentLength != 0 {
+		c.rejectWith(a)
+		return false
+	}
+	return c.give(req, a, true)
+}
+
 // expected answers an Expect field.
-func (c *caller) expected(req *http.Request) error {
+func (c *caller) expected(req *http.Request, maxBody int64) error {
 	want := req.Header.Get("Expect")
 	if want == "" {
 		return nil
@@ -218,33 +253,34 @@
 	return err
 }
 
-// carry hands a whole request to the Sidecar and gives its answer.
-func (c *caller) carry(req *http.Request, p plan, b *body) (served, goesOn bool) {
-	s := c.callers.s
-	p.budget = c.callers.left(p.budget)
-	r := newRequest(req, p, b)
-	r.out.Once = s.cfg.Balance.Classes[p.class].Semantics == balance.Unsafe
-	r.wake = func() { c.conn.SetReadDeadline(past) }
+// carry hands a whole request to its pool and gives the answer.
+func (c *caller) carry(req *http.Request, p *Plan, b *body) (served, goesOn bool) {
 	if ok, _ := c.move(taken, time.Time{}); !ok {
 		b.release()
 		return false, false
 	}
-	if err := s.take(r, p.class, p.tenant); err != nil {
+	if !p.isNew() {
+		b.release()
+		return false, c.turnAway(req, http.StatusConflict, errSeen)
+	}
+	p, r, wrong := c.take(p, b)
+	if wrong != nil {
 		b.release()
-		return false, c.turnAway(req, http.StatusConflict, err)
+		return false, c.give(req, *wrong, true)
 	}
+	defer p.Pool.Done(r)
 	c.rejects = 0
 	// Nothing should come before the answer; waiting for it tells when the
 	// caller has gone away. The answer ends the wait.
 	_, err := c.in.Peek(1)
 	left := err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 	if left {
-		s.withdraw(r)
+		p.Pool.Withdraw(r)
 	}
-	a := <-r.answer
-	goesOn = c.give(req, a, !left)
-	if a.up != nil {
-		a.up.Release()
+	a := <-r.Answer()
+	goesOn = c.give(req, answerOf(a, p), !left)
+	if a.Up != nil {
+		a.Up.Release()
 	}
 	if c.in.Buffered() > 0 {
 		c.linger() // what came too early must not eat the answer
@@ -252,6 +288,39 @@
 	return true, goesOn
 }
 
+// mostAnew bounds how often a request is judged anew: each time its pool has
+// been replaced in the moment since it was judged.
+const mostAnew = 4
+
+// take hands the request to its pool, or to the one that has taken its place
+// meanwhile. It tells how the request is answered if none takes it.
+func (c *caller) take(p *Plan, b *body) (*Plan, *pool.Request, *answer) {
+	for tries := 0; ; tries++ {
+		r := &pool.Request{
+			Class:  p.Class,
+			Tenant: p.Tenant,
+			Budget: c.callers.left(p.Budget),
+			Again:  p.Again,
+			Out:    p.Out,
+			Wake:   func() { c.conn.SetReadDeadline(past) },
+			Over:   b.release,
+		}
+		r.Out.Body = b.data
+		err := p.Pool.Take(r)
+		if err == nil {
+			return p, r, nil
+		}
+		if !errors.Is(err, pool.ErrRetired) || p.Anew == nil || tries == mostAnew {
+			return nil, nil, &answer{status: http.StatusServiceUnavailable, text: err.Error(), retryAfter: p.Pool.RetryAfter(), whole: p.Ordinary}
+		}
+		next, wrong := p.Anew()
+		if wrong != nil {
+			return nil, nil, &answer{status: wrong.Status, text: wrong.Err.Error()}
+		}
+		p = next
+	}
+}
+
 // turnAway answers a request that cannot be used. If nothing else comes with
 // it the connection goes on.
 func (c *caller) turnAway(req *http.Request, status int, why error) (goesOn bool) {
@@ -284,8 +353,12 @@
 	if status == http.StatusServiceUnavailable {
 		a.retryAfter = roomWait
 	}
+	c.rejectWith(a)
+}
+
+func (c *caller) rejectWith(a answer) {
 	c.conn.SetWriteDeadline(time.Now().Add(unread))
-	if err := a.write(c.conn, false); err != nil {
+	if err := a.write(c.conn, "", false); err != nil {
 		return
 	}
 	c.linger()
@@ -317,5 +390,5 @@
 func (c *caller) give(req *http.Request, a answer, goesOn bool) bool {
 	goesOn = goesOn && !req.Close && req.ProtoAtLeast(1, 1) && c.in.Buffered() == 0 && !c.closing()
 	c.conn.SetWriteDeadline(time.Now().Add(unread))
-	return a.write(c.conn, goesOn) == nil && goesOn
+	return a.write(c.conn, req.Method, goesOn) == nil && goesOn
 }
--- a/internal/sidecar/callers.go
+++ b/internal/front/http/callers.go
@@ -1,4 +1,6 @@
-package sidecar
+// Package httpfront takes the callers of HTTP/1.1: it reads, bounds and turns
+// away, hands what is good to the pool that a Judge names, and answers once.
+package httpfront
 
 import (
 	"container/list"
@@ -14,10 +16,13 @@
 // taken from reaching an endpoint, and against whoever takes connections and
 // does nothing with them, for whatever reason.
 type Callers struct {
-	s   *Sidecar
-	max int
+	Remote bool // requests are judged with their callers' address
+
+	judge Judge
+	times Times
 
 	mu      sync.Mutex
+	max     int
 	open    int
 	places  [states]list.List // of *caller, the one longest in that state in front
 	closing bool              // connections end once no request is open on them
@@ -39,9 +44,25 @@
 	states
 )
 
-// NewCallers returns Callers that hold at most so many connections to s.
-func NewCallers(s *Sidecar, most int) *Callers {
-	return &Callers{s: s, max: most, empty: make(chan struct{})}
+// NewCallers returns Callers that hold at most so many connections, whose
+// requests judge assigns.
+func NewCallers(judge Judge, most int, times Times) *Callers {
+	return &Callers{judge: judge, max: most, times: times.orDefault(), empty: make(chan struct{})}
+}
+
+// Limit changes how many connections there may be. Those over a lower bound
+// give way as new ones come.
+func (cs *Callers) Limit(most int) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.max = most
+}
+
+// Open is how many connections there are.
+func (cs *Callers) Open() int {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return cs.open
 }
 
 // Serve takes connections from l until it is closed.
--- a/internal/sidecar/hurry_test.go
+++ b/internal/front/http/hurry_test.go
@@ -1,4 +1,4 @@
-package sidecar
+package httpfront
 
 import (
 	"bufio"
--- /dev/null
+++ b/internal/front/http/judge.go
@@ -0,0 +1,53 @@
+package httpfront
+
+import (
+	"net/http"
+	"time"
+
+	"gorselink/internal/pool"
+	"gorselink/internal/upstream"
+)
+
+// Judge says what a request is and which pool it belongs to.
+type Judge interface {
+	// Judge reads the head of a request. The Plan is nil if there is none, and
+	// the Rejection is nil if there is one. Neither has reached a pool.
+	Judge(req *http.Request) (*Plan, *Rejection)
+	// Ready is the status that tells whether callers may be sent here.
+	Ready() int
+}
+
+// Plan is how a request is to be served.
+type Plan struct {
+	Pool    *pool.Pool
+	Class   int // the pool's number of it
+	Tenant  int // -1 for none
+	Budget  time.Duration
+	MaxBody int64            // bytes
+	Out     upstream.Request // all but the body
+	Again   bool             // may be a repeat of one that the pool has had
+
+	// Ordinary tells that the caller is a plain HTTP client: Retry-After has
+	// whole seconds, as RFC 9110, section 10.2.3, has it.
+	Ordinary bool
+	// Anew judges the request once more after its pool has been replaced, nil
+	// if that cannot happen.
+	Anew func() (*Plan, *Rejection)
+
+	id   string // that must not have come before; "" for one that was made here
+	seen *seenIDs
+	now  time.Duration // on the clock of seen
+}
+
+// Rejection is why a request cannot be used.
+type Rejection struct {
+	Status int
+	Err    error
+}
+
+func reject(status int, err error) (*Plan, *Rejection) {
+	return nil, &Rejection{Status: status, Err: err}
+}
+
+// isNew tells whether the request's id has not come before, and books it.
+func (p *Plan) isNew() bool { return p.id == "" || p.seen.add(p.id, p.now) }
--- /dev/null
+++ b/internal/front/http/routed.go
@@ -0,0 +1,297 @@
+package httpfront
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"gorselink/balance"
+	"gorselink/internal/pool"
+	"gorselink/route"
+)
+
+// Table is what a Routed judges by. It is made once and read by all.
+type Table struct {
+	Routes  *route.Table
+	Targets []Target                // what Routes finds
+	Named   map[string]bool         // the classes that a request may name
+	Pool    func(string) *pool.Pool // that serves or still drains, by name; nil if there is none
+
+	past []former // those that were replaced within the span of the keys
+}
+
+// former is what a Table was that has been replaced.
+type former struct {
+	routes *route.Table
+	pools  []string // of its targets
+	until  time.Time
+}
+
+// Target is a pool and what the requests to it are.
+type Target struct {
+	Pool    *pool.Pool
+	Class   *Class
+	Named   map[string]*Class // by the name that a request gives
+	MaxBody int64
+}
+
+// Class is a class of requests in one pool.
+type Class struct {
+	Name     string
+	ByMethod bool             // the semantics follow from the request
+	Forms    [3]balance.Class // by Semantics, all the same unless ByMethod
+	Numbers  [3]int           // of Forms, in the pool
+}
+
+// Routed judges requests by a routing table that can be replaced as a whole.
+type Routed struct {
+	Strict      bool   // the platform's form: id, budget, method by class, class in the path
+	ClassHeader string // names the class in the ordinary form; "" for none
+	Keys        *Keys
+
+	table    atomic.Pointer[Table]
+	seen     *seenIDs
+	start    time.Time
+	draining atomic.Bool
+}
+
+// NewRouted returns a Routed with its first table. In the strict form ids are
+// remembered over span.
+func NewRouted(t *Table, strict bool, classHeader string, keys *Keys, span time.Duration) *Routed {
+	j := &Routed{Strict: strict, ClassHeader: http.CanonicalHeaderKey(classHeader), Keys: keys, seen: &seenIDs{span: span}, start: time.Now()}
+	j.table.Store(t)
+	return j
+}
+
+// mostFormer bounds the tables that are remembered under one reload after the
+// other.
+const mostFormer = 64
+
+// Set makes t, which nobody else may have, the table for all requests that are
+// judged from now on. Where the one before led is remembered over the span of
+// the keys.
+func (j *Routed) Set(t *Table, span time.Duration) {
+	before, now := j.table.Load(), time.Now()
+	for _, p := range before.past {
+		if now.Before(p.until) {
+			t.past = append(t.past, p)
+		}
+	}
+	was := former{routes: before.Routes, until: now.Add(span)}
+	for _, to := range before.Targets {
+		was.pools = append(was.pools, to.Pool.Name())
+	}
+	t.past = append(t.past, was)
+	t.past = t.past[max(0, len(t.past)-mostFormer):]
+	j.table.Store(t)
+}
+
+// Drain makes Ready say no; requests go on being served.
+func (j *Routed) Drain() { j.draining.Store(true) }
+
+// Ready implements Judge: it says yes once any pool has a node.
+func (j *Routed) Ready() int {
+	if !j.draining.Load() {
+		for _, t := range j.table.Load().Targets {
+			if t.Pool != nil && t.Pool.Listed() {
+				return http.StatusOK
+			}
+		}
+	}
+	return http.StatusServiceUnavailable
+}
+
+// Judge implements Judge.
+func (j *Routed) Judge(req *http.Request) (*Plan, *Rejection) {
+	host, port, err := authority(req)
+	if err != nil {
+		return reject(http.StatusBadRequest, err)
+	}
+	target := req.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		target = req.URL.RequestURI() // of the absolute form
+	}
+	path, query, err := route.Target(target)
+	if err != nil {
+		return reject(http.StatusBadRequest, err)
+	}
+	switch req.Method {
+	case http.MethodConnect, http.MethodTrace:
+		return reject(http.StatusMethodNotAllowed, fmt.Errorf("method %s is not passed on", req.Method))
+	}
+	r := route.Request{Host: host, Path: path, Method: req.Method}
+	if r.Class, err = j.named(req, path); err != nil {
+		return reject(http.StatusBadRequest, err)
+	}
+	judged := &judged{Routed: j, req: req, r: r, uri: path + query, host: host + port}
+	return judged.plan()
+}
+
+// judged is a request in its normal form.
+type judged struct {
+	*Routed
+	req  *http.Request
+	r    route.Request
+	uri  string // as it is sent on
+	host string // with the port
+}
+
+// authority is the host that a request is for.
+func authority(req *http.Request) (host, port string, err error) {
+	if req.ProtoMajor != 1 {
+		return "", "", errors.New("want HTTP/1.x")
+	}
+	// The absolute form names the host, whatever Host says (RFC 9112, section
+	// 3.2.2); ReadRequest has put it into req.Host, and that is what goes on.
+	if !strings.HasPrefix(req.RequestURI, "/") {
+		if req.URL.Scheme != "http" || req.URL.User != nil || req.URL.Opaque != "" {
+			return "", "", fmt.Errorf("target %.80q, want a path or an http URI", req.RequestURI)
+		}
+	} else if req.Host == "" && !req.ProtoAtLeast(1, 1) {
+		return "", "", nil // HTTP/1.0 need not say
+	}
+	return route.Host(req.Host)
+}
+
+// named is the class that the request names, if any.
+func (j *Routed) named(req *http.Request, path string) (string, error) {
+	if j.Strict {
+		name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+		return name, nil
+	}
+	if j.ClassHeader == "" {
+		return "", nil
+	}
+	switch names := req.Header[j.ClassHeader]; len(names) {
+	case 0:
+		return "", nil
+	case 1:
+		return names[0], nil
+	default:
+		return "", fmt.Errorf("%s %.80q, want one class", j.ClassHeader, names)
+	}
+}
+
+// plan finds the request's target in the present table.
+func (j *judged) plan() (*Plan, *Rejection) {
+	t := j.table.Load()
+	if j.Strict && !t.Named[j.r.Class] {
+		return reject(http.StatusNotFound, fmt.Errorf("no class %.80q", j.r.Class))
+	}
+	if j.r.Class != "" && !t.Named[j.r.Class] {
+		return reject(http.StatusBadRequest, fmt.Errorf("%s: no class %.80q", j.ClassHeader, j.r.Class))
+	}
+	i, ok := t.Routes.Find(&j.r)
+	if !ok {
+		return reject(http.StatusNotFound, fmt.Errorf("no route for %s %.80s%.80s", j.r.Method, j.r.Host, j.r.Path))
+	}
+	to := &t.Targets[i]
+	class := to.Class
+	if c := to.Named[j.r.Class]; c != nil {
+		class = c
+	}
+	semantics, err := j.semantics(class)
+	if err != nil {
+		return reject(http.StatusBadRequest, err)
+	}
+	c := &class.Forms[semantics]
+	p := &Plan{
+		Pool:     to.Pool,
+		Class:    class.Numbers[semantics],
+		Tenant:   -1,
+		MaxBody:  to.MaxBody,
+		Ordinary: !j.Strict,
+		Anew:     j.plan,
+		seen:     j.seen,
+		now:      time.Since(j.start),
+	}
+	if j.Strict {
+		err = p.form(j.req, c)
+	} else {
+		p.Budget, err = budget(j.req, c.Deadline)
+	}
+	if err != nil {
+		return reject(http.StatusBadRequest, err)
+	}
+	if semantics == balance.Keyed {
+		if wrong := j.bind(t, p, class, c); wrong != nil {
+			return nil, wrong
+		}
+	}
+	p.Out = outgoing(j.req, j.uri, j.host, semantics)
+	if !j.Strict {
+		// The id is ours: one from outside could be another request's.
+		p.Out.Header.Set("X-Call-Id", fmt.Sprintf("%016x", rand.Uint64()))
+		if addr := j.req.RemoteAddr; addr != "" {
+			p.Out.Header.Add("X-Forwarded-For", addr)
+		}
+	}
+	return p, nil
+}
+
+// maxKey bounds an Idempotency-Key; those in use have some dozen bytes.
+const maxKey = 255
+
+// semantics tells what repeating the request does.
+func (j *judged) semantics(class *Class) (balance.Semantics, error) {
+	keys, has := j.req.Header["Idempotency-Key"]
+	if has && (len(keys) != 1 || keys[0] == "" || len(keys[0]) > maxKey) {
+		return 0, fmt.Errorf("Idempotency-Key %.80q, want one of 1 to %d bytes", keys, maxKey)
+	}
+	if !class.ByMethod {
+		s := class.Forms[0].Semantics
+		if s == balance.Keyed && !has {
+			return 0, fmt.Errorf("Idempotency-Key: missing, want one for class %s", class.Name)
+		}
+		return s, nil
+	}
+	switch j.req.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions: // RFC 9110, section 9.2.1
+		return balance.Safe, nil
+	}
+	if has {
+		return balance.Keyed, nil
+	}
+	// PUT and DELETE are idempotent by themselves, but not beside others: a
+	// late repeat would undo what came in between.
+	return balance.Unsafe, nil
+}
+
+// bind keeps a repeat with the pool that has had its key, even if the table
+// now leads elsewhere.
+func (j *judged) bind(t *Table, p *Plan, class *Class, c *balance.Class) *Rejection {
+	key := j.req.Header["Idempotency-Key"][0]
+	bound, sure := j.Keys.Bind(j.Keys.keyOf(j.r.Host, j.r.Path, key), p.Pool.Name(), p.now)
+	if bound == p.Pool.Name() {
+		if !sure && j.movedWithin(t, bound) {
+			// It may have run where it went before.
+			return &Rejection{Status: http.StatusConflict, Err: errors.New("Idempotency-Key: too many to tell whether this one has come before its route moved")}
+		}
+		return nil
+	}
+	was := t.Pool(bound)
+	if was == nil {
+		return &Rejection{Status: http.StatusConflict, Err: errors.New("Idempotency-Key: the request may have run in a service that is gone")}
+	}
+	number, err := was.Class(*c)
+	if err != nil {
+		return &Rejection{Status: http.StatusConflict, Err: err}
+	}
+	p.Pool, p.Class, p.Again = was, number, true
+	return nil
+}
+
+// movedWithin tells whether a table of the span led the request elsewhere.
+func (j *judged) movedWithin(t *Table, name string) bool {
+	now := time.Now()
+	for _, p := range t.past {
+		if i, ok := p.routes.Find(&j.r); ok && p.pools[i] != name && now.Before(p.until) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/sidecar/seen.go
+++ b/internal/front/http/seen.go
@@ -1,6 +1,12 @@
-package sidecar
+package httpfront
 
-import "time"
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"gorselink/balance"
+)
 
 // seenMost bounds the ids of one span, whatever their number a second: some
 // hundred kilobytes.
@@ -12,13 +18,30 @@
 // wait for its answer; sent on, it would run twice under one name. Under more
 // ids than seenMost in a span it remembers less, and forgets the oldest first.
 type seenIDs struct {
-	span     time.Duration
+	span time.Duration
+
+	mu       sync.Mutex
 	new, old map[string]struct{}
 	since    time.Duration
 }
 
+// newSeenIDs remembers ids for two of the longest deadlines, within which a
+// request may still run.
+func newSeenIDs(classes []balance.Class) *seenIDs {
+	s := &seenIDs{}
+	for i := range classes {
+		s.span = max(s.span, 2*classes[i].Deadline)
+	}
+	return s
+}
+
+// errSeen tells of a request whose id is not its own.
+var errSeen = errors.New("X-Call-Id: a request with this id has come before")
+
 // add remembers id and tells whether it is new.
 func (s *seenIDs) add(id string, now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.new == nil || now-s.since >= s.span || len(s.new) >= seenMost {
 		s.old, s.new, s.since = s.new, map[string]struct{}{}, now
 	}
--- a/internal/discovery/client.go
+++ b/internal/nodes/discovery.go
@@ -1,5 +1,4 @@
-// Package discovery asks which endpoints there are.
-package discovery
+package nodes
 
 import (
 	"context"
@@ -33,8 +32,10 @@
 	maxAnswer = 2 << 20 // bytes of an answer: some thousand endpoints have under 1 MiB, and 32 MB is all there may be
 )
 
-// Client follows the endpoint list of one discovery service.
-type Client struct {
+// Discovery is a Source: it follows the endpoint list of one discovery service
+// over HTTP.
+type Discovery struct {
+	addr    string
 	base    string
 	wait    time.Duration
 	http    http.Client
@@ -42,10 +43,11 @@
 	started bool // index is of an answer of this service
 }
 
-// NewClient returns a Client of the discovery at addr, whose watches wait for
+// NewDiscovery returns a Discovery of the discovery at addr, whose watches wait for
 // as long as wait.
-func NewClient(addr string, wait time.Duration) *Client {
-	return &Client{
+func NewDiscovery(addr string, wait time.Duration) *Discovery {
+	return &Discovery{
+		addr: addr,
 		base: "http://" + addr + "/api/targets",
 		wait: wait,
 		http: http.Client{Transport: &http.Transport{
@@ -55,13 +57,16 @@
 	}
 }
 
+// String implements Source.
+func (c *Discovery) String() string { return "discovery " + c.addr }
+
 // Close lets go of the connection that waits for the next call.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Discovery) Close() { c.http.CloseIdleConnections() }
 
 // Follow hands each answer to update, the whole list first, then what changes,
-// until a call fails or ctx ends; it returns why. A Client that is followed
+// until a call fails or ctx ends; it returns why. A Discovery that is followed
 // again goes on from where it was.
-func (c *Client) Follow(ctx context.Context, update func(List)) error {
+func (c *Discovery) Follow(ctx context.Context, update func(List)) error {
 	for {
 		asked, before := time.Now(), c.index
 		list, err := c.next(ctx)
@@ -72,17 +77,15 @@
 		if c.index == before && time.Since(asked) < pace {
 			// Nothing new and no wait: not to spin on a discovery that does
 			// not hold its watches.
-			select {
-			case <-ctx.Done():
+			if !sleep(ctx, pace) {
 				return ctx.Err()
-			case <-time.After(pace):
 			}
 		}
 	}
 }
 
 // next makes one call and returns its answer.
-func (c *Client) next(ctx context.Context) (List, error) {
+func (c *Discovery) next(ctx context.Context) (List, error) {
 	if !c.started {
 		return c.whole(ctx)
 	}
@@ -100,7 +103,7 @@
 	return list, nil
 }
 
-func (c *Client) whole(ctx context.Context) (List, error) {
+func (c *Discovery) whole(ctx context.Context) (List, error) {
 	list, err := c.call(ctx, c.base, listTime)
 	if err != nil {
 		return List{}, err
@@ -110,7 +113,7 @@
 	return list, nil
 }
 
-func (c *Client) call(ctx context.Context, url string, limit time.Duration) (List, error) {
+func (c *Discovery) call(ctx context.Context, url string, limit time.Duration) (List, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
--- a/internal/discovery/list.go
+++ b/internal/nodes/list.go
@@ -1,4 +1,4 @@
-package discovery
+package nodes
 
 import (
 	"encoding/json"
@@ -7,17 +7,18 @@
 	"net/netip"
 )
 
-// List is an answer of discovery.
+// List is what a source tells.
 type List struct {
 	Index     uint64
 	Snapshot  bool // all endpoints; otherwise the changed ones
+	Undated   bool // its source cannot know when a process started
 	Endpoints []Endpoint
 }
 
-// Status is what discovery says of an endpoint.
+// Status is what a list says of an endpoint.
 type Status string
 
-// The statuses that discovery knows.
+// The statuses that there are.
 const (
 	InService   Status = "in_service"
 	Terminating Status = "terminating" // finishes what it has, wants nothing new
@@ -36,7 +37,9 @@
 
 // Decode reads an answer of discovery. One bad entry spoils the whole answer:
 // the list that stands is worth more than half of a new one.
-func Decode(text []byte) (List, error) {
+func Decode(text []byte) (List, error) { return decode(text, true) }
+
+func decode(text []byte, indexed bool) (List, error) {
 	var l struct {
 		Index     *uint64    `json:"index"`
 		Snapshot  bool       `json:"snapshot"`
@@ -45,6 +48,9 @@
 	if err := json.Unmarshal(text, &l); err != nil {
 		return List{}, err
 	}
+	if l.Index == nil && !indexed {
+		l.Index = new(uint64)
+	}
 	if l.Index == nil {
 		return List{}, errors.New("index: missing")
 	}
--- /dev/null
+++ b/internal/pool/members.go
@@ -0,0 +1,250 @@
+package pool
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"gorselink/balance"
+	"gorselink/internal/nodes"
+	"gorselink/internal/upstream"
+)
+
+// Waits between calls of a pushing agent that fail: its first new answer
+// should not be waited for long, and a dead one not be called without end.
+const (
+	backoffMin = 50 * time.Millisecond
+	backoffMax = time.Second
+)
+
+// source is a node source that is being followed.
+type source struct {
+	nodes.Source
+	number int           // later ones are higher
+	watch  chan struct{} // the Balancer wants a watch
+	cancel context.CancelFunc
+}
+
+// Move names the source to follow from now on. The old one is followed until
+// the new one has told its whole list, so that nothing goes untold in between;
+// it guards as well against a new one that is dead or slow, as the old one then
+// goes on telling for as long as it can. It does nothing if the new source has
+// the name of the one last given.
+func (p *Pool) Move(src nodes.Source) {
+	select {
+	case <-p.moves: // a newer one replaces one not yet heeded
+	default:
+	}
+	p.moves <- src
+}
+
+// Run keeps the list of nodes up to date until ctx ends.
+func (p *Pool) Run(ctx context.Context) {
+	p.follow(ctx, p.cfg.Source)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case src := <-p.moves:
+			p.follow(ctx, src)
+		}
+	}
+}
+
+// follow starts to follow to, unless that is what was last named.
+func (p *Pool) follow(ctx context.Context, to nodes.Source) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	number := 1
+	if n := len(p.sources); n > 0 {
+		last := p.sources[n-1]
+		if last.String() == to.String() {
+			return
+		}
+		number = last.number + 1
+		if n > 1 {
+			// It was to take over and has told nothing yet.
+			last.cancel()
+			p.sources = p.sources[:n-1]
+		}
+		slog.Info("nodes move", "pool", p.cfg.Name, "from", last.String(), "to", to.String())
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	src := &source{Source: to, number: number, watch: make(chan struct{}, 1), cancel: cancel}
+	p.sources = append(p.sources, src)
+	if p.cfg.Balance.AskDiscovery {
+		if number > 1 || p.wanted {
+			src.watch <- struct{}{} // the Balancer's wish was for the source before
+		}
+		go p.followAsked(ctx, src)
+	} else {
+		go p.followPushed(ctx, src)
+	}
+}
+
+func (p *Pool) followPushed(ctx context.Context, src *source) {
+	defer src.Close()
+	for fails := 0; ctx.Err() == nil; fails++ {
+		err := src.Follow(ctx, func(l nodes.List) {
+			fails = 0
+			p.told(src, l)
+		})
+		if ctx.Err() != nil {
+			return
+		}
+		slog.Warn("list not to be had", "pool", p.cfg.Name, "from", src.String(), "error", err)
+		delay := min(backoffMin<<min(fails, 8), backoffMax)
+		select {
+		case <-ctx.Done():
+		case <-time.After(delay/2 + rand.N(delay/2)):
+		}
+	}
+}
+
+// followAsked watches when the Balancer wants it and tells it of failures: one
+// discovery answers all sidecars, so when to ask again is a decision.
+func (p *Pool) followAsked(ctx context.Context, src *source) {
+	defer src.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-src.watch:
+		}
+		err := src.Follow(ctx, func(l nodes.List) { p.told(src, l) })
+		if ctx.Err() != nil {
+			return
+		}
+		slog.Warn("watch ended", "pool", p.cfg.Name, "from", src.String(), "error", err)
+		p.mu.Lock()
+		if p.sources[len(p.sources)-1] == src {
+			p.update(balance.Failed, nodes.List{})
+		}
+		p.mu.Unlock()
+	}
+}
+
+// told takes what a source tells. The first word of a new one is its whole list
+// and ends the source before, whose changes cannot be applied to that list.
+func (p *Pool) told(src *source, l nodes.List) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.sources[0].number < src.number {
+		p.sources[0].cancel()
+		p.sources = p.sources[1:]
+	}
+	if p.sources[0] != src {
+		return // a late word of a source that has been replaced
+	}
+	kind := balance.Delta
+	if l.Snapshot {
+		kind = balance.Full
+	}
+	p.update(kind, l)
+}
+
+// update takes a list, or the news that asking for one failed; the mutex is
+// held.
+func (p *Pool) update(kind balance.ListKind, l nodes.List) {
+	if l.Undated {
+		p.date(l.Endpoints)
+	}
+	list := l.Endpoints
+	entries := make([]balance.Endpoint, 0, len(list))
+	for i := range list {
+		entries = append(entries, p.entry(&list[i]))
+	}
+	// What is new can be reached before the Balancer knows of it, and what is
+	// gone until the Balancer knows that.
+	for _, e := range list {
+		if e.Status != nodes.Terminated {
+			p.conns.Set(e.Name, upstream.Target{Address: e.Address, Since: e.SinceMs})
+		}
+	}
+	p.balancer.Members(p.now(), kind, entries)
+	p.listed = p.listed || len(entries) > 0
+	if kind == balance.Full || kind == balance.Cached {
+		clear(p.known)
+	}
+	for _, e := range list {
+		if e.Status != nodes.Terminated {
+			p.known[e.Name] = e
+			continue
+		}
+		delete(p.known, e.Name)
+		p.conns.Remove(e.Name)
+	}
+	if kind == balance.Full || kind == balance.Cached {
+		p.conns.Keep(func(name string) bool { _, ok := p.known[name]; return ok })
+	}
+}
+
+// List is the list of nodes as it is known, by name.
+func (p *Pool) List() nodes.List {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := nodes.List{Snapshot: true, Undated: len(p.dates) > 0}
+	for _, name := range slices.Sorted(maps.Keys(p.known)) {
+		l.Endpoints = append(l.Endpoints, p.known[name])
+	}
+	return l
+}
+
+// entry is an endpoint as the Balancer knows it. Its address there is the
+// name, which all sidecars share: the Balancers must agree on the ring.
+func (p *Pool) entry(e *nodes.Endpoint) balance.Endpoint {
+	b := balance.Endpoint{Addr: e.Name, Zone: p.zone(e.Zone), Cell: e.Group}
+	switch e.Status {
+	case nodes.InService:
+		b.State = balance.Ready
+	case nodes.Terminating:
+		b.State = balance.Draining
+	}
+	if e.SinceMs != 0 {
+		// The offset is that of the start, read once: a clock that is set
+		// later must not make old processes look restarted.
+		b.Since = time.UnixMilli(e.SinceMs).Sub(p.start.Round(0))
+		if b.Since == 0 {
+			b.Since = 1 // 0 would mean long ago
+		}
+	}
+	return b
+}
+
+// mostZones bounds the zones that are told apart where the configuration does
+// not name them; all others count as one.
+const mostZones = 64
+
+// zone is the number of a zone; the mutex is held.
+func (p *Pool) zone(name string) int {
+	i, ok := p.zones[name]
+	if !ok {
+		i = len(p.zones) // one that the settings do not name
+		if p.cfg.Zones == nil && i < mostZones {
+			p.zones[name] = i
+		}
+	}
+	return i
+}
+
+// date gives the nodes of an undated list a start; the mutex is held. One that
+// was in the first list has been there for long, as far as anybody knows. One
+// that comes later counts as started when it came: it may be cold, and to take
+// it for warm could push it over. It costs a warm node that was only added the
+// time it takes to warm up.
+func (p *Pool) date(list []nodes.Endpoint) {
+	now, dates := time.Now().UnixMilli(), map[string]int64{}
+	for i := range list {
+		e := &list[i]
+		if since, known := p.dates[e.Name]; e.SinceMs == 0 && known {
+			e.SinceMs = since
+		} else if e.SinceMs == 0 && p.listed {
+			e.SinceMs = now
+		}
+		dates[e.Name] = e.SinceMs
+	}
+	p.dates = dates
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,420 @@
+// Package pool runs one service: its Balancer, the connections to its nodes,
+// the source of its node list and its limits. Fronts hand it requests; it
+// drives the Balancer with what happens and carries out what the Balancer
+// decides. Pools share nothing but the process.
+package pool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gorselink/balance"
+	"gorselink/internal/limit"
+	"gorselink/internal/nodes"
+	"gorselink/internal/upstream"
+)
+
+// Config is what a Pool is made of.
+type Config struct {
+	Name    string
+	Seed    uint64 // of the Balancer's draws
+	Balance balance.Config
+	Zones   map[string]int // by name; nil to number zones as they appear, from OwnZone on
+	OwnZone string
+	Known   nodes.List // as last known, maybe outdated
+	Source  nodes.Source
+	Limits  Limits
+}
+
+// Limits bound what a Pool takes at once. They can change while it serves.
+type Limits struct {
+	Requests  int   // that are open, from the whole request to the written answer; 0 for no bound
+	BodyBytes int64 // memory for request bodies
+}
+
+// Pool balances the requests to the nodes of one service.
+type Pool struct {
+	cfg    Config
+	conns  *upstream.Pool
+	start  time.Time // the Balancer's time 0
+	bodies limit.Bytes
+
+	most  atomic.Int64 // Limits.Requests
+	open  atomic.Int64 // requests taken and not Done
+	held  atomic.Int64 // mean time that one is open, in ns
+	moves chan nodes.Source
+
+	mu       sync.Mutex // guards what follows and all in a Request that says so
+	balancer *balance.Balancer
+	requests map[balance.RequestID]*Request // those that are owed an answer
+	lastID   balance.RequestID
+	classes  map[balance.Class]int // numbers of classes, for Class
+	retired  bool
+	listed   bool
+	known    map[string]nodes.Endpoint
+	dates    map[string]int64 // since when nodes of undated lists have been there, in Unix ms
+	zones    map[string]int
+	wanted   bool      // a watch was wanted before there was a source
+	sources  []*source // followed: the one that tells and, after Move, the one to take over
+	stats    Stats
+	reported Stats // what the last Report has told
+}
+
+// Request is a request that a Pool is given.
+type Request struct {
+	Class  int // of the Pool's
+	Tenant int // -1 for none
+	Budget time.Duration
+	Out    upstream.Request
+	Again  bool   // may have been here before, and belongs to this pool even when retired
+	Wake   func() // called before the answer is there; must not block
+	Over   func() // called once when nothing is sent any more and no attempt is out
+
+	answer chan Answer // takes the one answer
+	id     balance.RequestID
+	taken  time.Time
+	ctx    context.Context // ends once nothing more may be sent for the request
+	cancel context.CancelFunc
+
+	// Guarded by Pool.mu.
+	attempts  int
+	pending   int // attempts without an outcome
+	answered  bool
+	withdrawn bool
+	own       *upstream.Answer // what the last node said that failed
+}
+
+// Verdict is how a request ended.
+type Verdict int
+
+const (
+	Served  Verdict = iota // by a node's answer
+	Refused                // it had no effect; a repeat is harmless
+	Failed                 // by a node's error, or by none that could be reached
+	Late                   // its time was up, and an attempt may still run
+	Left                   // the caller had gone
+)
+
+// Answer is the one answer to a Request. Who gets one must release Up.
+type Answer struct {
+	Verdict    Verdict
+	Up         *upstream.Answer // with Served and, if a node made one, with Failed
+	RetryAfter time.Duration    // with Refused; 0 for none
+}
+
+// Why a Pool does not take a request; nothing was sent for it.
+var (
+	ErrFull    = errors.New("the pool has all the requests that it may hold open")
+	ErrRetired = errors.New("the pool has been replaced")
+)
+
+// New returns a Pool that sends over conns and starts from the known list. It
+// does not follow its source before Run. Connections may be used by one Pool
+// after another, and are closed by neither.
+func New(cfg Config, conns *upstream.Pool) (*Pool, error) {
+	p := &Pool{
+		cfg:      cfg,
+		conns:    conns,
+		start:    time.Now(),
+		moves:    make(chan nodes.Source, 1),
+		requests: map[balance.RequestID]*Request{},
+		classes:  map[balance.Class]int{},
+		known:    map[string]nodes.Endpoint{},
+		dates:    map[string]int64{},
+		zones:    cfg.Zones,
+	}
+	if p.zones == nil {
+		p.zones = map[string]int{cfg.OwnZone: 0}
+	}
+	p.Limit(cfg.Limits)
+	var err error
+	if p.balancer, err = balance.New(cfg.Balance, cfg.Seed, (*host)(p)); err != nil {
+		return nil, fmt.Errorf("pool %s: %w", cfg.Name, err)
+	}
+	for i, c := range cfg.Balance.Classes {
+		p.classes[c] = i
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.update(balance.Cached, cfg.Known)
+	return p, nil
+}
+
+// Name is the name of the service.
+func (p *Pool) Name() string { return p.cfg.Name }
+
+// Conns are the connections that the Pool sends over.
+func (p *Pool) Conns() *upstream.Pool { return p.conns }
+
+// Bodies is the memory for request bodies.
+func (p *Pool) Bodies() *limit.Bytes { return &p.bodies }
+
+// Limit changes the limits. What is held beyond them ends by itself.
+func (p *Pool) Limit(l Limits) {
+	p.most.Store(int64(l.Requests))
+	p.bodies.Set(l.BodyBytes)
+}
+
+// Class returns the number of a class, which the Balancer learns of if it is
+// new. What it has learnt of the others stands.
+func (p *Pool) Class(c balance.Class) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i, ok := p.classes[c]; ok {
+		return i, nil
+	}
+	i, err := p.balancer.AddClass(c)
+	if err != nil {
+		return 0, fmt.Errorf("pool %s: %w", p.cfg.Name, err)
+	}
+	p.classes[c] = i
+	return i, nil
+}
+
+// Classes is how many classes the Balancer knows, used or not.
+func (p *Pool) Classes() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.classes)
+}
+
+// Listed tells whether any node has ever been told.
+func (p *Pool) Listed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listed
+}
+
+// Open is how many requests are open.
+func (p *Pool) Open() int { return int(p.open.Load()) }
+
+// Full tells, without a lock, whether Take would find no room.
+func (p *Pool) Full() bool {
+	most := p.most.Load()
+	return most > 0 && p.open.Load() >= most
+}
+
+// Times that a caller who found the pool full is told: not so short that all
+// come back at once, nor longer than people wait.
+const (
+	fullLeast = 100 * time.Millisecond
+	fullMost  = 5 * time.Second
+)
+
+// RetryAfter is when a pool that is full may have room: when about a quarter of
+// what is open should have ended.
+func (p *Pool) RetryAfter() time.Duration {
+	return min(max(time.Duration(p.held.Load())/4, fullLeast), fullMost)
+}
+
+// NoteFull counts a request that was turned away because the pool was full
+// before it was whole.
+func (p *Pool) NoteFull() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stats.Full++
+}
+
+// now is the Balancer's time. It is read under the mutex, so that the Balancer
+// never sees it run back.
+func (p *Pool) now() time.Duration { return time.Since(p.start) }
+
+// Take hands a request to the Balancer, or tells why not. One that was taken is
+// answered once over Answer, and must be given back with Done.
+func (p *Pool) Take(r *Request) error {
+	r.answer = make(chan Answer, 1)
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var err error
+	switch {
+	case p.retired && !r.Again:
+		err = ErrRetired
+	case p.Full():
+		p.stats.Full++
+		err = ErrFull
+	}
+	if err != nil {
+		r.cancel()
+		return err
+	}
+	p.open.Add(1)
+	p.lastID++
+	r.id = p.lastID
+	r.taken = time.Now()
+	p.requests[r.id] = r
+	p.stats.Taken++
+	p.balancer.Request(p.now(), r.id, r.Class, r.Tenant, r.Budget)
+	return nil
+}
+
+// Answer is where the one answer to a request that was taken comes.
+func (r *Request) Answer() <-chan Answer { return r.answer }
+
+// heldMemory is over how many requests the mean time that one is open forgets.
+const heldMemory = 16
+
+// Done tells that the answer to r has been written, or cannot be.
+func (p *Pool) Done(r *Request) {
+	mean := p.held.Load() // two at once may lose one of them, which harms nothing
+	p.held.Store(mean + (int64(time.Since(r.taken))-mean)/heldMemory)
+	p.open.Add(-1)
+}
+
+// Withdraw tells the Balancer that the client of r has gone away. Attempts
+// that are out go on: a client that has only closed its sending side can still
+// be given their answer, and nothing else is lost by waiting for it.
+func (p *Pool) Withdraw(r *Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r.answered {
+		return
+	}
+	r.withdrawn = true
+	r.cancel()
+	delete(p.requests, r.id)
+	p.stats.Withdrawn++
+	p.balancer.Withdrawn(p.now(), r.id)
+	p.settle(r)
+}
+
+// Retire ends the Pool for new requests: Take gives ErrRetired but for those
+// that come again. What is open goes on.
+func (p *Pool) Retire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retired = true
+}
+
+// Revive takes Retire back.
+func (p *Pool) Revive() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retired = false
+}
+
+// settle ends what can be ended of r; the mutex is held.
+func (p *Pool) settle(r *Request) {
+	if r.pending > 0 {
+		return
+	}
+	if r.withdrawn {
+		p.give(r, Answer{Verdict: Left})
+	}
+	if r.answered && r.Over != nil {
+		r.Over()
+		r.Over = nil
+	}
+}
+
+// give gives r its answer and tells whether it is the first; the mutex is
+// held. Nothing is sent for r from here on.
+func (p *Pool) give(r *Request, a Answer) bool {
+	if r.answered {
+		return false
+	}
+	r.answered = true
+	if r.own != nil && r.own != a.Up {
+		r.own.Release()
+	}
+	r.own = nil
+	r.cancel()
+	delete(p.requests, r.id)
+	if r.Wake != nil {
+		r.Wake()
+	}
+	r.answer <- a
+	return true
+}
+
+// attempt makes one attempt and tells the Balancer how it ended.
+func (p *Pool) attempt(r *Request, number int, node string, sent, timeout time.Duration) {
+	up, result := p.conns.Do(r.ctx, node, &r.Out, timeout)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	r.pending--
+	p.stats.Results[result]++
+	switch {
+	case up == nil:
+	case r.answered:
+		up.Release()
+	case result == balance.OK:
+		p.stats.Served++
+		p.give(r, Answer{Verdict: Served, Up: up})
+	default:
+		if r.own != nil {
+			r.own.Release()
+		}
+		r.own = up
+	}
+	over := r.answered || r.withdrawn
+	p.balancer.Outcome(now, r.id, number, result, now-sent, over)
+	p.settle(r)
+}
+
+// host is the Pool as the Balancer sees it. The mutex is held in all its
+// methods, which only start work.
+type host Pool
+
+// Send implements balance.Host.
+func (h *host) Send(id balance.RequestID, addr string, timeout time.Duration) {
+	p := (*Pool)(h)
+	r := p.requests[id]
+	number := r.attempts
+	r.attempts++
+	r.pending++
+	go p.attempt(r, number, addr, p.now(), timeout)
+}
+
+// Refuse implements balance.Host.
+func (h *host) Refuse(id balance.RequestID, retryAfter time.Duration) {
+	p := (*Pool)(h)
+	r := p.requests[id]
+	if r.own != nil && r.pending == 0 { // says more than that there was none
+		h.Fail(id)
+		return
+	}
+	p.stats.Refused++
+	p.give(r, Answer{Verdict: Refused, RetryAfter: retryAfter})
+	p.settle(r)
+}
+
+// Fail implements balance.Host.
+func (h *host) Fail(id balance.RequestID) {
+	p := (*Pool)(h)
+	r := p.requests[id]
+	p.stats.Failed++
+	switch {
+	case r.pending > 0:
+		p.give(r, Answer{Verdict: Late})
+	default:
+		p.give(r, Answer{Verdict: Failed, Up: r.own})
+	}
+	p.settle(r)
+}
+
+// After implements balance.Host.
+func (h *host) After(d time.Duration, token uint64) {
+	p := (*Pool)(h)
+	time.AfterFunc(d, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.balancer.Timer(p.now(), token)
+	})
+}
+
+// Watch implements balance.Host.
+func (h *host) Watch() {
+	h.wanted = len(h.sources) == 0 // Run has not begun
+	for _, src := range h.sources {
+		select {
+		case src.watch <- struct{}{}:
+		default: // one is wanted already
+		}
+	}
+}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -15,6 +16,7 @@
 
 	"gorselink/balance"
 	"gorselink/internal/framing"
+	"gorselink/internal/limit"
 )
 
 // Request is what an attempt sends.
@@ -27,26 +29,25 @@
 	Once   bool // must not run twice, so a reset cannot be mended
 }
 
-// Answer is an endpoint's 200, whole. Who gets one must release it.
+// Answer is an endpoint's answer, whole. Who gets one must release it.
 type Answer struct {
+	Status int
 	Header http.Header
 	Body   []byte
-	large  hold
+	large  limit.Hold
 }
 
 // Release gives back the memory of an answer that is not needed any more.
 func (a *Answer) Release() {
 	a.Body = nil
-	a.large.release()
+	a.large.Release()
 }
 
 const (
-	// maxAnswer is the protocol's bound for a body. Every answer is held until
-	// it is whole, so that a break inside it, or one that never ends, is an
-	// outcome of the attempt and no half answer to the caller.
-	maxAnswer = 64 << 10
 	// maxLarge is the longest body that is passed on all the same while there
-	// is room for it (Config.LargeBytes). Endpoints whose data has grown past
+	// is room for it (Config.LargeBytes). Every answer is held until it is
+	// whole, so that a break inside it, or one that never ends, is an outcome
+	// of the attempt and no half answer to the caller. Endpoints whose data has grown past
 	// the protocol's bound all give the same long answer: turning it down
 	// loses the request, and trying again multiplies the work. It could hurt
 	// where an endpoint sends rubbish of just such a length.
@@ -75,7 +76,8 @@
 // Do makes one attempt at the endpoint called name and waits for its outcome
 // for as long as timeout. Until its last byte is written, the attempt ends
 // with ctx, never having run; then it has afterOver to end. The answer comes
-// only with balance.OK.
+// with balance.OK and, under Config.AnyStatus, with balance.Error if the
+// endpoint made one.
 func (p *Pool) Do(ctx context.Context, name string, r *Request, timeout time.Duration) (*Answer, balance.Result) {
 	deadline := time.Now().Add(timeout)
 	c, result := p.connect(ctx, name, r.Once, deadline)
@@ -160,7 +162,7 @@
 	out := http.Request{
 		Method:        r.Method,
 		URL:           &url.URL{Opaque: r.URI},
-		Host:          r.Host,
+		Host:          cmp.Or(r.Host, c.target.Address), // HTTP/1.1 must name one
 		Header:        header,
 		ContentLength: int64(len(r.Body)),
 	}
@@ -197,7 +199,7 @@
 			return nil, err
 		}
 		c.begun = true
-		c.limit(deadline, answerTime)
+		c.limit(deadline, c.target.pool.cfg.AnswerTime)
 		// What cannot become an answer is not waited for.
 		if b, err := c.in.Peek(len(protocol)); err == nil && string(b) != protocol {
 			return nil, spoilt{fmt.Errorf("begins with %q", b)}
@@ -254,23 +256,35 @@
 	}
 	body, large, err := c.body(resp)
 	again = err == nil && !resp.Close && c.in.Buffered() == 0
-	if err == nil && resp.StatusCode == http.StatusOK {
-		return &Answer{Header: resp.Header, Body: body, large: large}, again, balance.OK
-	}
-	large.release()
 	switch {
 	case turnedAway(resp):
-		return nil, again, balance.Overloaded
-	case resp.StatusCode != http.StatusOK:
-		return nil, again, balance.Error
+		result = balance.Overloaded
+	case !c.target.pool.serves(resp.StatusCode):
+		result = balance.Error
+	case err != nil:
+		again, result = false, broken(err)
+	}
+	if err != nil || result != balance.OK && (result != balance.Error || !c.target.pool.cfg.AnyStatus) {
+		large.Release()
+		return nil, again, result
 	}
-	return nil, false, broken(err)
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, large: large}, again, result
+}
+
+// serves tells whether an answer with this status is one to the request, and
+// not a failure to answer it.
+func (p *Pool) serves(status int) bool {
+	return status == http.StatusOK || p.cfg.AnyStatus && status < 500
 }
 
 // body reads the body of an answer to its end. What it holds is the caller's to
 // release, also with an error.
-func (c *conn) body(resp *http.Response) (data []byte, large hold, err error) {
-	if resp.ContentLength > maxLarge {
+func (c *conn) body(resp *http.Response) (data []byte, large limit.Hold, err error) {
+	if resp.Body == http.NoBody { // as of a HEAD, whatever length it tells
+		return nil, large, nil
+	}
+	maxLarge := c.target.pool.cfg.MaxAnswer
+	if resp.ContentLength > int64(maxLarge) {
 		return nil, large, spoilt{fmt.Errorf("body of %d bytes, want %d at most", resp.ContentLength, maxLarge)}
 	}
 	chunked := len(resp.TransferEncoding) > 0
@@ -294,26 +308,27 @@
 		}
 		return nil
 	}
-	if resp.ContentLength <= maxAnswer {
+	if resp.ContentLength <= SmallAnswer {
 		if resp.ContentLength > 0 {
 			body.Grow(int(resp.ContentLength) + bytes.MinRead) // for one read that finds the end
 		}
-		if err := read(maxAnswer); err == nil || body.Len() <= maxAnswer {
+		if err := read(min(SmallAnswer, maxLarge)); err == nil || body.Len() <= SmallAnswer {
 			return body.Bytes(), large, err
 		}
 	}
 	size := resp.ContentLength
 	if size < 0 {
-		size = 2 * maxLarge // as the buffer may grow
+		size = 2 * int64(maxLarge) // as the buffer may grow
 	}
-	if large, err = c.target.large.reserve(size); err != nil {
-		return nil, large, spoilt{err}
+	large, ok := c.target.pool.large.Reserve(size)
+	if !ok {
+		return nil, large, spoilt{fmt.Errorf("no room for a body of %d bytes", size)}
 	}
 	if resp.ContentLength > 0 {
 		body.Grow(int(resp.ContentLength) + bytes.MinRead)
 	}
 	err = read(maxLarge)
-	large.shrink(int64(body.Cap()))
+	large.Shrink(int64(body.Cap()))
 	return body.Bytes(), large, err
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -12,6 +12,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"gorselink/internal/limit"
 )
 
 // Config holds the settings of a Pool.
@@ -19,9 +21,21 @@
 	DialTimeout time.Duration
 	ConnIdle    time.Duration // endpoints close what has been idle for longer
 	MaxConns    int           // connections at most, to all endpoints
-	LargeBytes  int64         // memory for answers over the protocol's bound, all together
+	LargeBytes  int64         // memory for answers over SmallAnswer, all together
+
+	MaxAnswer  int           // bytes of the longest body that is passed on; 0 for 1 MiB
+	AnswerTime time.Duration // from an answer's first byte to its last; 0 for 0.5 s
+
+	// AnyStatus makes an answer with a status under 500 a served one, and has
+	// Do return also those from 500 on, with balance.Error. Without it only a
+	// 200 serves, as the platform's protocol says.
+	AnyStatus bool
 }
 
+// SmallAnswer is the protocol's bound for a body, in bytes. Answers up to it
+// are not taken from LargeBytes: there are as many as attempts at the most.
+const SmallAnswer = 64 << 10
+
 // Target is where an endpoint is reached.
 type Target struct {
 	Address string
@@ -32,7 +46,7 @@
 // time; the one used last is used first, so that those not needed go idle.
 type Pool struct {
 	cfg   Config
-	large budget
+	large limit.Bytes
 
 	mu      sync.Mutex
 	targets map[string]*target
@@ -45,18 +59,43 @@
 // target is an endpoint in one life of its process at one address.
 type target struct {
 	Target
-	large *budget // the Pool's
-	idle  []*conn // the one used last at the end
-	gone  bool    // replaced or no longer listed: its connections are not kept
+	pool *Pool
+	idle []*conn // the one used last at the end
+	gone bool    // replaced or no longer listed: its connections are not kept
 }
 
 // New returns an empty Pool.
 func New(cfg Config) *Pool {
+	if cfg.MaxAnswer == 0 {
+		cfg.MaxAnswer = maxLarge
+	}
+	if cfg.AnswerTime == 0 {
+		cfg.AnswerTime = answerTime
+	}
 	p := &Pool{cfg: cfg, targets: map[string]*target{}}
-	p.large.left.Store(cfg.LargeBytes)
+	p.large.Set(cfg.LargeBytes)
 	return p
 }
 
+// Limit changes the bounds of the Pool. Connections over a lower bound end with
+// the attempts that are out on them; idle ones are closed at once.
+func (p *Pool) Limit(maxConns int, largeBytes int64) {
+	p.large.Set(largeBytes)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cfg.MaxConns = maxConns
+	for p.open > maxConns && p.idle.Len() > 0 {
+		p.drop(p.idle.Front().Value.(*conn))
+	}
+}
+
+// Bound is how many connections there may be.
+func (p *Pool) Bound() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cfg.MaxConns
+}
+
 // Set makes name known under t. If it was known otherwise, the connections to
 // what it was are closed: they lead to a dead process or a former address.
 func (p *Pool) Set(name string, t Target) {
@@ -68,7 +107,7 @@
 		}
 		p.retire(old)
 	}
-	p.targets[name] = &target{Target: t, large: &p.large}
+	p.targets[name] = &target{Target: t, pool: p}
 }
 
 // Remove forgets name and closes its idle connections.
@@ -81,12 +120,12 @@
 	}
 }
 
-// Keep removes all but the names in keep.
-func (p *Pool) Keep(keep map[string]bool) {
+// Keep removes all names but those that it is told to keep.
+func (p *Pool) Keep(keep func(name string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, t := range p.targets {
-		if !keep[name] {
+		if !keep(name) {
 			p.retire(t)
 			delete(p.targets, name)
 		}
@@ -222,7 +261,7 @@
 func (p *Pool) give(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.target.gone || p.closed {
+	if c.target.gone || p.closed || p.open > p.cfg.MaxConns {
 		p.open--
 		c.Close()
 		return
--- a/test.sh
+++ b/test.sh
@@ -2,14 +2,27 @@
 # All checks of the repository; needs nothing outside it.
 set -euo pipefail
 cd "$(dirname "$0")"
-pkgs="./balance/... ./internal/... ./cmd/..."
 
-go vet $pkgs
-unformatted=$(gofmt -l balance internal cmd)
+go vet ./...
+unformatted=$(gofmt -l $(git ls-files --cached --others --exclude-standard '*.go' 2>/dev/null || find . -name '*.go'))
 if [ -n "$unformatted" ]; then
 	echo "not formatted: $unformatted" >&2
 	exit 1
 fi
+go tool staticcheck ./...
+
+# Pure modules decide; they do no I/O, read no clock and start nothing.
+for m in balance route; do
+	bad=$(go list -f '{{join .Imports "\n"}}' "./$m" | grep -E '^(gorselink/internal|os|net|io|log|syscall|context|sync|bufio|runtime|unsafe|embed|testing|database|internal)(/|$)' || true)
+	if [ -n "$bad" ]; then
+		echo "$m is pure and imports $bad" >&2
+		exit 1
+	fi
+	if grep -nE 'time\.(Now|Since|Until|Sleep|After|AfterFunc|NewTimer|NewTicker|Tick)\(|^[[:space:]]*go ' $(ls "$m"/*.go | grep -v _test.go); then
+		echo "$m is pure, and reads a clock or starts a goroutine" >&2
+		exit 1
+	fi
+done
 
 policy=$(sed -n 's/^policy = \[\(.*\)\].*$/\1/p' deploy/balancer.toml | tr -d '",')
 lines=$(cat $policy | grep -c '[^[:space:]]')
@@ -22,7 +35,7 @@
 	case " $policy " in *" $f "*) ;; *) echo "$f is not listed under policy" >&2; exit 1 ;; esac
 done
 
-go test -count=1 $pkgs
+go test -count=1 ./...
 
 mkdir -p bin && go build -o bin/ ./cmd/...
 for f in cmd/drill/testdata/*.in; do
