Ids are remembered by the process, not by a listener; check the descriptors at start

A listener that a reload makes anew had forgotten which ids it had taken, so one that came again could run twice. All listeners in the platform's form share the memory now (TestIDsOutliveAReload). serve refuses to start with more descriptors than the system allows, instead of finding out under load.

--- a/cmd/gorselink/serve.go
+++ b/cmd/gorselink/serve.go
@@ -8,6 +8,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"gorselink/internal/config"
@@ -25,6 +26,9 @@
 	if err != nil {
 		return err
 	}
+	if err := checkDescriptors(cfg.Process.Descriptors); err != nil {
+		return fmt.Errorf("gorselink: %w", err)
+	}
 	setProcess(cfg)
 	d, err := daemon.Start(cfg)
 	if err != nil {
@@ -61,6 +65,19 @@
 	}
 }
 
+// checkDescriptors tells whether the process may have so many: it would find out
+// under load otherwise, and lose requests.
+func checkDescriptors(want int) error {
+	var l syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil {
+		return fmt.Errorf("process.descriptors: %w", err)
+	}
+	if uint64(want) > l.Cur { // the runtime has raised it as far as it may
+		return fmt.Errorf("process.descriptors: found %d, want %d at most: the system allows no more (ulimit -n)", want, l.Cur)
+	}
+	return nil
+}
+
 // setProcess gives the runtime its part of what the process has.
 func setProcess(cfg *config.Product) {
 	if n := cfg.Process.Cores; n > 0 {
--- a/internal/daemon/apply.go
+++ b/internal/daemon/apply.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return fmt.Errorf("listeners.%s: %w", c.Name, err)
 	}
-	l.judge = httpfront.NewRouted(t, c.Form == config.Strict, c.ClassHeader, p.d.keys, 2*p.cfg.LongestDeadline())
+	l.judge = httpfront.NewRouted(t, c.Form == config.Strict, c.ClassHeader, p.d.keys, p.d.ids)
 	l.callers = httpfront.NewCallers(l.judge, c.Connections, httpfront.Times{Hello: c.Hello, Request: c.Request, Idle: c.Idle})
 	l.callers.Remote = c.Form == config.Ordinary
 	p.opened = append(p.opened, l)
@@ -312,6 +312,7 @@
 func (p *plan) commit() []string {
 	d, span := p.d, keySpan(p.cfg)
 	d.keys.SetSpan(span)
+	d.ids.SetLongest(p.cfg.LongestDeadline())
 	left := p.commitServices(time.Now().Add(span))
 	for i := range p.cfg.Listeners {
 		c := &p.cfg.Listeners[i]
--- a/internal/daemon/client_test.go
+++ b/internal/daemon/client_test.go
@@ -246,3 +246,31 @@
 		}
 	}
 }
+
+// An id that has come before is turned away on every listener in the platform's
+// form, and also after a reload that has made the listener anew.
+func TestIDsOutliveAReload(t *testing.T) {
+	nodes := startNodes(t, "n", 1, standin.NodeConfig{})
+	text := func(idle string) string {
+		return "[listeners.one]\naddress = \"127.0.0.1:0\"\nform = \"platform\"\nidle_timeout = \"" + idle + "\"\n[listeners.two]\naddress = \"127.0.0.1:0\"\nform = \"platform\"\n" +
+			"[classes.pay]\nsemantics = \"unsafe\"\n" + poolText("a", list(nodes)) + routeText("", "a")
+	}
+	d := start(t, text("5s"))
+	pay := func(listener string) int {
+		status, _ := raw(t, d.Addr(listener).String(), "POST /pay HTTP/1.1\r\nHost: x\r\nX-Call-Id: 0a\r\nContent-Length: 0\r\n\r\n")
+		return status
+	}
+	if s := pay("one"); s != 200 {
+		t.Fatalf("status %d", s)
+	}
+	if s := pay("two"); s != 409 {
+		t.Errorf("on the other listener: status %d, want 409", s)
+	}
+	apply(t, d, text("6s"))
+	if s := pay("one"); s != 409 {
+		t.Errorf("after a reload: status %d, want 409", s)
+	}
+	if n := nodes[0].Total(); n != 1 {
+		t.Errorf("%d runs, want 1", n)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	ctx    context.Context // ends what works in the background
 	cancel context.CancelFunc
 	keys   *httpfront.Keys
+	ids    *httpfront.IDs
 
 	mu        sync.Mutex
 	cfg       *config.Product // the one in force
@@ -62,6 +63,7 @@
 		ctx:       ctx,
 		cancel:    cancel,
 		keys:      httpfront.NewKeys(keySpan(cfg)),
+		ids:       httpfront.NewIDs(cfg.LongestDeadline()),
 		cfg:       &config.Product{},
 		services:  map[string]*service{},
 		listeners: map[string]*listener{},
--- a/internal/front/http/caller_test.go
+++ b/internal/front/http/caller_test.go
@@ -260,7 +260,7 @@
 }
 
 func TestSeenIDsForget(t *testing.T) {
-	s := seenIDs{span: time.Second}
+	s := IDs{span: time.Second}
 	for i := range 5 * seenMost {
 		if !s.add(fmt.Sprint(i), 0) {
 			t.Fatalf("id %d taken for one seen", i)
--- a/internal/front/http/judge.go
+++ b/internal/front/http/judge.go
@@ -35,8 +35,7 @@
 	Anew func() (*Plan, *Rejection)
 
 	id   string // that must not have come before; "" for one that was made here
-	seen *seenIDs
-	now  time.Duration // on the clock of seen
+	seen *IDs
 }
 
 // Rejection is why a request cannot be used.
@@ -50,4 +49,4 @@
 }
 
 // isNew tells whether the request's id has not come before, and books it.
-func (p *Plan) isNew() bool { return p.id == "" || p.seen.add(p.id, p.now) }
+func (p *Plan) isNew() bool { return p.id == "" || p.seen.isNew(p.id) }
--- a/internal/front/http/keys.go
+++ b/internal/front/http/keys.go
@@ -19,6 +19,7 @@
 type Keys struct {
 	span  time.Duration
 	seeds [2]maphash.Seed
+	start time.Time
 
 	mu       sync.Mutex
 	new, old map[[2]uint64]string // pool by key, in two halves of which the older is dropped whole
@@ -28,9 +29,12 @@
 
 // NewKeys returns Keys for the longest time that any node remembers a key.
 func NewKeys(span time.Duration) *Keys {
-	return &Keys{span: span, seeds: [2]maphash.Seed{maphash.MakeSeed(), maphash.MakeSeed()}, new: map[[2]uint64]string{}}
+	return &Keys{span: span, start: time.Now(), seeds: [2]maphash.Seed{maphash.MakeSeed(), maphash.MakeSeed()}, new: map[[2]uint64]string{}}
 }
 
+// now is the time of Bind.
+func (k *Keys) now() time.Duration { return time.Since(k.start) }
+
 // SetSpan changes the span from now on.
 func (k *Keys) SetSpan(span time.Duration) {
 	k.mu.Lock()
--- a/internal/front/http/platform.go
+++ b/internal/front/http/platform.go
@@ -35,15 +35,18 @@
 	Form    []balance.Class
 	Tenants map[string]int // by X-Caller
 
-	start    time.Time
-	seen     *seenIDs
+	seen     *IDs
 	draining atomic.Bool
 }
 
 // NewPlatform returns a Platform in front of p. Ids are remembered for two of
 // the longest deadlines.
 func NewPlatform(p *pool.Pool, names, tenants map[string]int, classes []balance.Class) *Platform {
-	return &Platform{Pool: p, Classes: names, Form: classes, Tenants: tenants, start: time.Now(), seen: newSeenIDs(classes)}
+	longest := time.Duration(0)
+	for i := range classes {
+		longest = max(longest, classes[i].Deadline)
+	}
+	return &Platform{Pool: p, Classes: names, Form: classes, Tenants: tenants, seen: NewIDs(longest)}
 }
 
 // Drain makes Ready say no; requests go on being served.
@@ -70,7 +73,7 @@
 		return reject(http.StatusNotFound, fmt.Errorf("no class %q", name))
 	}
 	c := &j.Form[class]
-	p := &Plan{Pool: j.Pool, Class: class, Tenant: -1, MaxBody: platformBody, seen: j.seen, now: time.Since(j.start)}
+	p := &Plan{Pool: j.Pool, Class: class, Tenant: -1, MaxBody: platformBody, seen: j.seen}
 	if err := p.form(req, c); err != nil {
 		return reject(http.StatusBadRequest, err)
 	}
--- a/internal/front/http/routed.go
+++ b/internal/front/http/routed.go
@@ -52,17 +52,15 @@
 	Strict      bool   // the platform's form: id, budget, method by class, class in the path
 	ClassHeader string // names the class in the ordinary form; "" for none
 	Keys        *Keys
+	IDs         *IDs // of the strict form
 
 	table    atomic.Pointer[Table]
-	seen     *seenIDs
-	start    time.Time
 	draining atomic.Bool
 }
 
-// NewRouted returns a Routed with its first table. In the strict form ids are
-// remembered over span.
-func NewRouted(t *Table, strict bool, classHeader string, keys *Keys, span time.Duration) *Routed {
-	j := &Routed{Strict: strict, ClassHeader: http.CanonicalHeaderKey(classHeader), Keys: keys, seen: &seenIDs{span: span}, start: time.Now()}
+// NewRouted returns a Routed with its first table.
+func NewRouted(t *Table, strict bool, classHeader string, keys *Keys, ids *IDs) *Routed {
+	j := &Routed{Strict: strict, ClassHeader: http.CanonicalHeaderKey(classHeader), Keys: keys, IDs: ids}
 	j.table.Store(t)
 	return j
 }
@@ -206,8 +204,7 @@
 		MaxBody:  to.MaxBody,
 		Ordinary: !j.Strict,
 		Anew:     j.plan,
-		seen:     j.seen,
-		now:      time.Since(j.start),
+		seen:     j.IDs,
 	}
 	if j.Strict {
 		err = p.form(j.req, c)
@@ -265,7 +262,7 @@
 // now leads elsewhere.
 func (j *judged) bind(t *Table, p *Plan, class *Class, c *balance.Class) *Rejection {
 	key := j.req.Header["Idempotency-Key"][0]
-	bound, sure := j.Keys.Bind(j.Keys.keyOf(j.r.Host, j.r.Path, key), p.Pool.Name(), p.now)
+	bound, sure := j.Keys.Bind(j.Keys.keyOf(j.r.Host, j.r.Path, key), p.Pool.Name(), j.Keys.now())
 	if bound == p.Pool.Name() {
 		if !sure && j.movedWithin(t, bound) {
 			// It may have run where it went before.
--- a/internal/front/http/routed_test.go
+++ b/internal/front/http/routed_test.go
@@ -41,7 +41,7 @@
 		class.Forms[i] = balance.Class{Deadline: time.Second, Semantics: balance.Semantics(i)}
 	}
 	table := &Table{Routes: routes, Pool: func(string) *pool.Pool { return nil }, Targets: []Target{{Pool: open, Class: class}, {Pool: closed, Class: class}}}
-	return NewRouted(table, false, "", NewKeys(time.Minute), time.Second), open, closed
+	return NewRouted(table, false, "", NewKeys(time.Minute), NewIDs(time.Second)), open, closed
 }
 
 func parseHead(text string) (*http.Request, error) {
@@ -139,7 +139,7 @@
 		t.Errorf("a key of a pool that is gone: %v", wrong)
 	}
 	for i := range 3 * keysMost {
-		j.Keys.Bind(j.Keys.keyOf("h", "/p", fmt.Sprint(i)), "many", time.Since(j.start))
+		j.Keys.Bind(j.Keys.keyOf("h", "/p", fmt.Sprint(i)), "many", j.Keys.now())
 	}
 	if _, wrong := ask("k2"); wrong == nil || wrong.Status != http.StatusConflict {
 		t.Errorf("a key that may have been forgotten: %v", wrong)
--- a/internal/front/http/seen.go
+++ b/internal/front/http/seen.go
@@ -4,42 +4,47 @@
 	"errors"
 	"sync"
 	"time"
-
-	"gorselink/balance"
 )
 
 // seenMost bounds the ids of one span, whatever their number a second: some
 // hundred kilobytes.
 const seenMost = 8 << 10
 
-// seenIDs remembers the ids of requests for at least span, in two halves of
+// IDs remembers the ids of requests for at least its span, in two halves of
 // which the older is dropped whole. Every request has an id of its own, also a
 // repeat, so one that has come before belongs to somebody else, who may still
 // wait for its answer; sent on, it would run twice under one name. Under more
 // ids than seenMost in a span it remembers less, and forgets the oldest first.
-type seenIDs struct {
-	span time.Duration
+type IDs struct {
+	start time.Time
 
 	mu       sync.Mutex
+	span     time.Duration
 	new, old map[string]struct{}
 	since    time.Duration
 }
 
-// newSeenIDs remembers ids for two of the longest deadlines, within which a
+// NewIDs remembers ids for two of the longest deadlines, within which a
 // request may still run.
-func newSeenIDs(classes []balance.Class) *seenIDs {
-	s := &seenIDs{}
-	for i := range classes {
-		s.span = max(s.span, 2*classes[i].Deadline)
-	}
-	return s
+func NewIDs(longest time.Duration) *IDs {
+	return &IDs{span: 2 * longest, start: time.Now()}
 }
 
+// SetLongest changes the longest deadline from now on.
+func (s *IDs) SetLongest(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.span = 2 * d
+}
+
+// isNew tells whether id has not come before, and books it.
+func (s *IDs) isNew(id string) bool { return s.add(id, time.Since(s.start)) }
+
 // errSeen tells of a request whose id is not its own.
 var errSeen = errors.New("X-Call-Id: a request with this id has come before")
 
 // add remembers id and tells whether it is new.
-func (s *seenIDs) add(id string, now time.Duration) bool {
+func (s *IDs) add(id string, now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.new == nil || now-s.since >= s.span || len(s.new) >= seenMost {
