traffic: a pure plan of which request is due when, for the load generator

Closed loops hide the delays of a surge; the generator needs a schedule that hangs on nothing but its seed. traffic/ has shapes (hold, ramp, step, spike, wave) with their exact integral and its inverse, even and Poisson arrivals by inversion, several streams merged in constant memory, parts for several workers that are together the whole, and contents with Zipf keys that follow from the seed and an arrival's number alone.

Tests hold the times against the integral, Poisson counts against their variance and gaps, Zipf ranks against the formula for skews from 0 to 3, and parts against the whole.

--- a/test.sh
+++ b/test.sh
@@ -12,7 +12,7 @@
 go tool staticcheck ./...
 
 # Pure modules decide; they do no I/O, read no clock and start nothing.
-for m in balance route; do
+for m in balance route traffic; do
 	bad=$(go list -f '{{join .Imports "\n"}}' "./$m" | grep -E '^(gorselink/internal|os|net|io|log|syscall|context|sync|bufio|runtime|unsafe|embed|testing|database|internal)(/|$)' || true)
 	if [ -n "$bad" ]; then
 		echo "$m is pure and imports $bad" >&2
--- /dev/null
+++ b/traffic/traffic_test.go
@@ -0,0 +1,352 @@
+package traffic
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+)
+
+func shape(t testing.TB, script string) *Shape {
+	t.Helper()
+	s, err := ParseShape(script)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func near(t *testing.T, what string, got, want, within float64) {
+	t.Helper()
+	if !(math.Abs(got-want) <= within) {
+		t.Errorf("%s: %v, want %v within %v", what, got, want, within)
+	}
+}
+
+const ms = time.Millisecond
+
+// What a shape means: its rate at moments, and what is expected by then.
+func TestShapes(t *testing.T) {
+	for _, c := range []struct {
+		script string
+		span   time.Duration
+		total  float64
+		rates  map[time.Duration]float64
+	}{
+		{"hold 500 10s", 10 * time.Second, 5000, map[time.Duration]float64{0: 500, 9 * time.Second: 500, 10 * time.Second: 0, -1: 0}},
+		{"ramp 100 300 10s", 10 * time.Second, 2000, map[time.Duration]float64{0: 100, 5 * time.Second: 200}},
+		{"ramp 0 10 10s", 10 * time.Second, 50, map[time.Duration]float64{0: 0, time.Second: 1}},
+		{"step 100 300 3 9s", 9 * time.Second, 1800, map[time.Duration]float64{0: 100, 2999 * ms: 100, 3001 * ms: 200, 8 * time.Second: 300}},
+		{"step 100 300 1 9s", 9 * time.Second, 900, map[time.Duration]float64{8 * time.Second: 100}},
+		{"spike 100 1000 100ms 1100ms", 1100 * ms, 55 + 550, map[time.Duration]float64{0: 100, 50 * ms: 550, 100 * ms: 1000, 600 * ms: 550}},
+		{"spike 100 1000 0s 1s", time.Second, 550, map[time.Duration]float64{0: 1000, 500 * ms: 550}},
+		{"wave 100 50 4s 8s", 8 * time.Second, 800, map[time.Duration]float64{0: 100, time.Second: 150, 3 * time.Second: 50, 5 * time.Second: 150}},
+		{"hold 10 1s, hold 20 1s\nramp 20 0 2s;", 4 * time.Second, 50, map[time.Duration]float64{500 * ms: 10, 1500 * ms: 20, 3 * time.Second: 10}},
+	} {
+		s := shape(t, c.script)
+		if s.Span() != c.span {
+			t.Errorf("%s: %v long, want %v", c.script, s.Span(), c.span)
+		}
+		near(t, c.script+" in all", s.Total(), c.total, 1e-6)
+		near(t, c.script+" in all by Expected", s.Expected(2*c.span), c.total, 1e-6)
+		for at, want := range c.rates {
+			near(t, fmt.Sprintf("%s at %v", c.script, at), s.Rate(at), want, 0.2)
+		}
+	}
+}
+
+func TestBadShapes(t *testing.T) {
+	for script, want := range map[string]string{
+		"":                           "without parts",
+		"hold 5":                     "want hold RATE FOR",
+		"hold five 10s":              "RATE",
+		"hold 5 10":                  "FOR",
+		"hold -5 10s":                "a rate of -5",
+		"hold NaN 10s":               "a rate of NaN",
+		"hold 1e9 10s":               "a rate of 1e+09",
+		"hold 5 0s":                  "a time above 0",
+		"hold 5 -1s":                 "a time above 0",
+		"hold 5 100h, hold 5 100h":   "over 168h",
+		"rise 5 10s":                 "no such kind",
+		"step 1 2 0 10s":             "levels",
+		"spike 1 2 11s 10s":          "rise",
+		"wave 100 200 1s 10s":        "below 0",
+		"wave 100 10 0s 10s":         "period",
+		"hold 5 10s, ramp 1 2 3 10s": "part 2",
+	} {
+		if _, err := ParseShape(script); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: error %v, want %q in it", script, err, want)
+		}
+	}
+}
+
+// FuzzParseShape: what is read can be written and read again, and asks for no
+// time that never comes.
+func FuzzParseShape(f *testing.F) {
+	f.Add("hold 500 10s, ramp 500 2000 30s; spike 1 2 100ms 1s\nwave 5 5 1s 3s, step 1 2 3 4s")
+	f.Fuzz(func(t *testing.T, script string) {
+		s, err := ParseShape(script)
+		if err != nil {
+			return
+		}
+		again, err := ParseShape(s.String())
+		if err != nil || again.String() != s.String() {
+			t.Fatalf("%q reads as %q and that as %v, %v", script, s, again, err)
+		}
+		times := NewTimes(s, Even, 0)
+		last := time.Duration(0)
+		for range 100 {
+			at, ok := times.Next()
+			if !ok {
+				break
+			}
+			if at < last || at > s.Span() {
+				t.Fatalf("%q: due at %v after %v, of %v", s, at, last, s.Span())
+			}
+			last = at
+		}
+	})
+}
+
+// The times of even arrivals are those at which the shape expects half of the
+// next one, in each kind of part.
+func TestEvenTimesInvertTheShape(t *testing.T) {
+	for _, script := range []string{
+		"hold 500 4s", "ramp 0 1000 4s", "ramp 1000 0 4s", "step 10 500 7 4s", "spike 50 5000 100ms 4s",
+		"wave 300 300 1500ms 4s", "hold 0 1s, hold 100 1s, hold 0 1s, wave 100 10 10ms 1s",
+	} {
+		s := shape(t, script)
+		times, n := NewTimes(s, Even, 0), 0
+		last := time.Duration(-1)
+		for {
+			at, ok := times.Next()
+			if !ok {
+				break
+			}
+			if at < last {
+				t.Fatalf("%s: %v after %v", script, at, last)
+			}
+			last = at
+			near(t, fmt.Sprintf("%s: expected by the arrival %d at %v", script, n, at), s.Expected(at), float64(n)+0.5, 1e-3)
+			n++
+		}
+		near(t, script+": arrivals", float64(n), s.Total(), 0.51)
+	}
+}
+
+// Poisson arrivals have the shape's rate in every stretch, a variance like
+// their number and gaps that remember nothing.
+func TestPoissonTimes(t *testing.T) {
+	s := shape(t, "hold 1000 20s, ramp 1000 3000 20s")
+	counts := make([]float64, 400) // of 100 ms
+	times := NewTimes(s, Poisson, 7)
+	var gaps, long float64
+	last := time.Duration(0)
+	for {
+		at, ok := times.Next()
+		if !ok {
+			break
+		}
+		counts[at/(100*ms)]++
+		if at < 20*time.Second {
+			gaps++
+			if at-last > ms { // the mean gap
+				long++
+			}
+		}
+		last = at
+	}
+	var first, variance float64
+	for _, n := range counts[:200] {
+		first += n
+	}
+	near(t, "arrivals of the hold", first, 20000, 5*math.Sqrt(20000))
+	for _, n := range counts[:200] {
+		variance += (n - 100) * (n - 100) / 200
+	}
+	near(t, "variance of 100 ms", variance, 100, 40)
+	near(t, "share of gaps over the mean", long/gaps, math.Exp(-1), 0.02)
+	var second float64
+	for _, n := range counts[200:] {
+		second += n
+	}
+	near(t, "arrivals of the ramp", second, 40000, 5*math.Sqrt(40000))
+}
+
+func twoStreams(t testing.TB) []Stream {
+	return []Stream{
+		{Name: "donate", Shape: shape(t, "hold 300 2s, spike 300 3000 100ms 1s"), Pattern: Poisson, Path: "/pledge/{n}?k={key}&r={rand:1-6}", Keys: 50, Skew: 1, Keyed: true},
+		{Name: "receipts", Shape: shape(t, "wave 200 100 1s 3s"), Pattern: Poisson, Path: "/receipt"},
+	}
+}
+
+type next interface{ Next() (Arrival, bool) }
+
+func all(n next) (list []Arrival) {
+	for {
+		a, ok := n.Next()
+		if !ok {
+			return list
+		}
+		list = append(list, a)
+	}
+}
+
+// The same seed gives the same schedule, arrival by arrival and byte by byte,
+// another seed another one; and a stream's arrivals do not hang on the others.
+func TestSameSeedSameSchedule(t *testing.T) {
+	write := func(streams []Stream, seed uint64) string {
+		var out strings.Builder
+		fillers := make([]*Filler, len(streams))
+		for i := range streams {
+			var err error
+			if fillers[i], err = NewFiller(&streams[i], seed); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, a := range all(NewPlan(streams, seed)) {
+			fmt.Fprintln(&out, int64(a.Due), streams[a.Stream].Name, a.Index, fillers[a.Stream].Content(a.Index))
+		}
+		return out.String()
+	}
+	both := twoStreams(t)
+	first := write(both, 1)
+	if first != write(both, 1) {
+		t.Error("one seed, two schedules")
+	}
+	if first == write(both, 2) {
+		t.Error("two seeds, one schedule")
+	}
+	var alone strings.Builder
+	for line := range strings.Lines(first) {
+		if strings.Contains(line, " receipts ") {
+			alone.WriteString(line)
+		}
+	}
+	if n := strings.Count(alone.String(), "\n"); n < 400 || alone.String() != write(both[1:], 1) {
+		t.Errorf("the schedule of a stream hangs on another one (%d arrivals)", n)
+	}
+}
+
+// The arrivals of a plan come in order; its parts are the plan, each arrival in
+// one of them.
+func TestPartsAreThePlan(t *testing.T) {
+	whole := all(NewPlan(twoStreams(t), 5))
+	for i := 1; i < len(whole); i++ {
+		if whole[i].Due < whole[i-1].Due {
+			t.Fatalf("arrival %d is due before the one before", i)
+		}
+	}
+	for _, of := range []int{1, 2, 3, 7} {
+		merged := make([]Arrival, len(whole))
+		n := 0
+		for part := range of {
+			for i, a := range all(NewPart(NewPlan(twoStreams(t), 5), part, of)) {
+				merged[i*of+part] = a
+				n++
+			}
+		}
+		if n != len(whole) {
+			t.Fatalf("%d parts have %d arrivals, want %d", of, n, len(whole))
+		}
+		for i := range whole {
+			if merged[i] != whole[i] {
+				t.Fatalf("%d parts: arrival %d is %+v, want %+v", of, i, merged[i], whole[i])
+			}
+		}
+	}
+}
+
+// Ranks come as often as 1/k^s says, for skews below, at and above 1.
+func TestZipf(t *testing.T) {
+	const draws, n = 200000, 20
+	for _, s := range []float64{0, 0.5, 0.99, 1, 1.000001, 1.5, 3} {
+		z, err := NewZipf(n, s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rng := rand.New(rand.NewPCG(1, uint64(s*1000)))
+		counts := make([]float64, n+1)
+		for range draws {
+			k := z.Draw(rng)
+			if k < 1 || k > n {
+				t.Fatalf("rank %d", k)
+			}
+			counts[k]++
+		}
+		sum := 0.0
+		for k := 1; k <= n; k++ {
+			sum += math.Pow(float64(k), -s)
+		}
+		for k := 1; k <= n; k++ {
+			p := math.Pow(float64(k), -s) / sum
+			near(t, fmt.Sprintf("s %v, rank %d", s, k), counts[k]/draws, p, 5*math.Sqrt(p/draws)+1e-4)
+		}
+	}
+	for _, c := range []struct {
+		n int
+		s float64
+	}{{0, 1}, {5, -1}, {5, math.NaN()}, {5, 100}} {
+		if _, err := NewZipf(c.n, c.s); err == nil {
+			t.Errorf("zipf over %d with %v was taken", c.n, c.s)
+		}
+	}
+	if z, _ := NewZipf(1, 1); z.Draw(rand.New(rand.NewPCG(1, 1))) != 1 {
+		t.Error("one rank, and another was drawn")
+	}
+}
+
+func TestContent(t *testing.T) {
+	s := &Stream{Name: "a", Path: "/p/{n}/{key}/{rand:5-6}/x", Keys: 9, Skew: 1, Keyed: true}
+	f, err := NewFiller(s, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := map[string]bool{}
+	for i := range uint64(50) {
+		c := f.Content(i)
+		if again := f.Content(i); again != c {
+			t.Fatalf("arrival %d: %+v and %+v", i, c, again)
+		}
+		five, six := fmt.Sprintf("/p/%d/%d/5/x", i, c.Rank), fmt.Sprintf("/p/%d/%d/6/x", i, c.Rank)
+		if (c.Path != five && c.Path != six) || len(c.Key) != 32 || seen[c.Key] {
+			t.Errorf("arrival %d: %+v", i, c)
+		}
+		seen[c.Key] = true
+	}
+	for path, keys := range map[string]int{"/{": 1, "/{x}": 1, "/{key}": 0, "/{rand:5}": 1, "/{rand:6-5}": 1, "/{rand:a-b}": 1} {
+		if _, err := NewFiller(&Stream{Path: path, Keys: keys, Skew: 1}, 1); err == nil {
+			t.Errorf("path %q with %d keys was taken", path, keys)
+		}
+	}
+	if _, err := ParsePattern("closed"); err == nil {
+		t.Error("a pattern that there is not was taken")
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, script := range []string{"hold 1e6 1h", "ramp 1e6 2e6 1h", "wave 1e6 1e6 1m 1h"} {
+		b.Run(strings.Fields(script)[0], func(b *testing.B) {
+			p := NewPlan([]Stream{{Name: "a", Shape: shape(b, script), Pattern: Poisson}}, 1)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := p.Next(); !ok {
+					b.Fatal("the plan is over")
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkContent(b *testing.B) {
+	f, err := NewFiller(&Stream{Name: "a", Path: "/p/{n}/{key}", Keys: 100000, Skew: 1}, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		f.Content(uint64(i))
+	}
+}
