internal/load: an open-loop engine that counts from when a request was due

The plan itself is the queue: what finds no connection is not read before there is one, so a target that stalls stops no schedule and costs no memory. Each request is counted from the moment it was due, its service time and the generator's own lateness beside it; what still waits at the end is counted as unanswered with the time it has waited.

--- /dev/null
+++ b/internal/load/lane.go
@@ -0,0 +1,244 @@
+package load
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"gorselink/internal/framing"
+	"gorselink/traffic"
+)
+
+// lane is a connection and what is open on it: one request at a time.
+type lane struct {
+	r     *Runner
+	shard *shard
+	work  chan job
+	conn  net.Conn
+	in    *bufio.Reader
+	head  []byte // of the request that is sent
+	used  int    // requests on this connection
+	keep  bool   // the last answer lets it go on
+}
+
+// job is a request to be made.
+type job struct {
+	ask     ask
+	could   time.Duration // when it could have been sent: due, or when a lane was free for it
+	again   bool          // not its first try
+	retries int
+}
+
+// ask is one request as it is due.
+type ask struct {
+	due    time.Duration
+	stream int
+	index  uint64
+}
+
+// maxAnswer bounds the body that is read of an answer: a target that never
+// ends one must not hold a lane for good.
+const maxAnswer = 64 << 20
+
+// run makes the requests that come over work.
+func (l *lane) run(ctx context.Context) {
+	defer l.close()
+	for j := range l.work {
+		l.do(ctx, j)
+		l.r.free(l)
+	}
+}
+
+// do makes one try of j, books it and says what follows.
+func (l *lane) do(ctx context.Context, j job) {
+	r, s := l.r, &l.r.cfg.Streams[j.ask.stream]
+	f := r.fill[j.ask.stream]
+	f.mu.Lock()
+	content := f.Content(j.ask.index)
+	caller := f.Caller(&r.cfg.Client, j.ask.index)
+	id := f.CallID(j.ask.index, j.retries)
+	f.mu.Unlock()
+	begin := r.now()
+	req := &request{stream: s, path: content.Path, key: content.Key, id: id, body: r.body(s.Body), http: &http.Request{Method: cmp.Or(s.Method, http.MethodGet)}}
+	deadline := farOff
+	if s.Budget > 0 {
+		deadline = j.ask.due + s.Budget
+		req.budget = deadline - begin
+	}
+	if caller.Leaves {
+		req.leave = r.start.Add(begin + r.cfg.Client.LeaveAfter)
+	}
+	o, retryAfter := l.try(ctx, req, r.start.Add(deadline))
+	ended := r.now()
+	if ctx.Err() != nil && (o == Broken || o == NoConn || o == TimedOut || o == LeftEarly) && ended < deadline {
+		o = Unanswered
+	}
+	if j.again {
+		l.shard.again(ended-begin, o)
+	} else {
+		l.shard.first(begin-j.could, ended-begin, o)
+	}
+	harmless := o == Refused || o == NoConn || (o == Failed || o == Broken) && (s.Keyed || safe(req.http.Method))
+	if wait, again := r.cfg.Client.Next(j.retries, harmless, retryAfter, caller.Heeds); again && ended+wait < deadline {
+		j.retries++
+		r.later(j, wait)
+		return
+	}
+	l.shard.end(j.ask.stream, j.ask.due, ended, o)
+	r.ended.Add(1)
+	r.begun(-1)
+}
+
+// farOff is the deadline of a request without one, beyond any run.
+const farOff = 2 * traffic.MaxSpan
+
+func safe(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
+// try makes one try and tells how it ended.
+func (l *lane) try(ctx context.Context, req *request, deadline time.Time) (o Outcome, retryAfter time.Duration) {
+	if l.conn != nil && (!l.keep || l.r.cfg.PerConn > 0 && l.used >= l.r.cfg.PerConn) {
+		l.close()
+	}
+	fresh := l.conn == nil
+	if fresh {
+		if err := l.open(ctx, deadline); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) || isTimeout(err) || ctx.Err() != nil {
+				return TimedOut, 0
+			}
+			return NoConn, 0
+		}
+	}
+	l.used++
+	l.keep = false
+	until := deadline
+	if !req.leave.IsZero() && req.leave.Before(deadline) {
+		until = req.leave
+	}
+	l.conn.SetDeadline(until)
+	if ctx.Err() != nil { // the run has ended in between
+		l.conn.SetDeadline(time.Unix(1, 0))
+	}
+	status, retryAfter, err := l.exchange(req)
+	switch {
+	case err == nil:
+		return statusOutcome(status), retryAfter
+	case isTimeout(err):
+		l.close()
+		if until != deadline {
+			return LeftEarly, 0
+		}
+		return TimedOut, 0
+	}
+	l.close()
+	return Broken, 0
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
+func statusOutcome(status int) Outcome {
+	switch {
+	case status < 400:
+		return OK
+	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		return Refused
+	case status < 500:
+		return Rejected
+	}
+	return Failed
+}
+
+func (l *lane) open(ctx context.Context, deadline time.Time) error {
+	d := net.Dialer{Deadline: deadline, KeepAlive: -1}
+	c, err := d.DialContext(ctx, "tcp", l.r.cfg.Addr)
+	if err != nil {
+		return err
+	}
+	l.conn, l.used = c, 0
+	l.r.opened.Add(1)
+	if l.in == nil {
+		l.in = bufio.NewReaderSize(c, framing.MaxHead)
+	} else {
+		l.in.Reset(c)
+	}
+	if !l.r.track(l, c) { // the end of the run ends what is out
+		c.SetDeadline(time.Unix(1, 0))
+	}
+	return nil
+}
+
+func (l *lane) close() {
+	if l.conn != nil {
+		l.r.untrack(l)
+		l.conn.Close()
+		l.conn = nil
+	}
+}
+
+// exchange sends a request and reads its answer.
+func (l *lane) exchange(req *request) (status int, retryAfter time.Duration, err error) {
+	l.head = req.appendHead(l.head[:0])
+	if len(req.body) == 0 {
+		_, err = l.conn.Write(l.head)
+	} else {
+		all := net.Buffers{l.head, req.body}
+		_, err = all.WriteTo(l.conn)
+	}
+	if err != nil {
+		// It may have been turned away before it was whole.
+		l.conn.SetReadDeadline(time.Now().Add(earlyAnswer))
+	}
+	for interim := 0; ; interim++ {
+		head, herr := framing.Peek(l.in)
+		if herr != nil {
+			if err != nil {
+				herr = err
+			}
+			return 0, 0, herr
+		}
+		if err := framing.Check(head); err != nil {
+			return 0, 0, err
+		}
+		resp, rerr := http.ReadResponse(l.in, req.http)
+		if rerr != nil {
+			return 0, 0, rerr
+		}
+		if resp.StatusCode < 200 && interim < 8 {
+			continue
+		}
+		n, cerr := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer+1))
+		l.r.bytes.Add(n)
+		if cerr != nil {
+			return 0, 0, cerr
+		}
+		if n > maxAnswer {
+			return 0, 0, errors.New("an answer without end")
+		}
+		// Bytes behind the answer are a second one, or noise.
+		l.keep = err == nil && !resp.Close && l.in.Buffered() == 0
+		return resp.StatusCode, after(resp.Header.Get("Retry-After")), nil
+	}
+}
+
+// earlyAnswer is how long an answer is awaited to a request that broke off.
+const earlyAnswer = 50 * time.Millisecond
+
+// after reads a Retry-After in seconds, whole or decimal; 0 for none.
+func after(s string) time.Duration {
+	x, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(x > 0 && x < 3600) {
+		return 0
+	}
+	return time.Duration(x * float64(time.Second))
+}
--- /dev/null
+++ b/internal/load/runner.go
@@ -0,0 +1,471 @@
+// Package load makes the requests of a traffic plan when they are due, whatever
+// becomes of those before, and measures how long each waited from that moment.
+// It keeps its own error beside what it measures.
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"gorselink/traffic"
+)
+
+// Plan is the sequence of what is due; traffic.Plan and traffic.PlanPart are.
+type Plan interface {
+	Next() (traffic.Arrival, bool)
+}
+
+// Config says what a run is.
+type Config struct {
+	Addr    string // address:port of the target
+	Streams []traffic.Stream
+	Plan    Plan
+	Seed    uint64
+	Client  traffic.Client
+	Conns   int           // connections at most; requests beyond them wait, ageing
+	PerConn int           // requests on a connection before it is closed; 0 for no bound
+	Open    int           // requests at most that are begun, those between two tries included; 0 for 16 for each connection
+	Span    time.Duration // of the plan; 0 if it is not known
+	Grace   time.Duration // how long answers are awaited after the last request was due
+	Live    func(Live)    // called about once a second; may be nil
+}
+
+// Live is how a run stands.
+type Live struct {
+	At       time.Duration
+	Due      int64 // requests so far
+	Ended    int64
+	InFlight int
+}
+
+func (c *Config) check() error {
+	switch {
+	case c.Plan == nil || len(c.Streams) == 0:
+		return errors.New("load: no plan or no streams")
+	case c.Conns < 1:
+		return fmt.Errorf("load: %d connections, want 1 at least", c.Conns)
+	case c.PerConn < 0 || c.Grace < 0 || c.Open < 0:
+		return errors.New("load: negative bounds")
+	}
+	for i := range c.Streams {
+		if c.Span == 0 && c.Streams[i].Budget <= 0 {
+			return fmt.Errorf("load: stream %s: a plan of unknown length and no budget: a target that falls silent would hold the run for ever", c.Streams[i].Name)
+		}
+	}
+	return c.Client.Check()
+}
+
+// Runner makes one run.
+type Runner struct {
+	cfg    Config
+	start  time.Time
+	rec    *recorder
+	fill   []*filler
+	opened atomic.Int64
+	bytes  atomic.Int64
+	queued int64
+
+	due, ended atomic.Int64
+
+	mu      sync.Mutex
+	idle    []*lane // the one used last at the end
+	lanes   int
+	inUse   map[*lane]net.Conn
+	over    bool
+	ready   []job                // retries whose time has come
+	pending map[*job]*time.Timer // retries whose time will come
+	open    int                  // requests that have been begun and not ended
+	wake    chan struct{}        // something of these has changed, for the dispatcher
+}
+
+// filler guards a traffic.Filler, which lanes share.
+type filler struct {
+	mu sync.Mutex
+	*traffic.Filler
+}
+
+// request is what one try sends.
+type request struct {
+	stream *traffic.Stream
+	path   string
+	key    string
+	id     string
+	budget time.Duration // 0 for none
+	body   []byte
+	leave  time.Time // zero for never
+	http   *http.Request
+}
+
+// appendHead appends the head of the request, whole.
+func (r *request) appendHead(b []byte) []byte {
+	b = append(b, r.http.Method...)
+	b = append(b, ' ')
+	b = append(b, r.path...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, r.stream.Host...)
+	b = append(b, "\r\nX-Call-Id: "...)
+	b = append(b, r.id...)
+	if r.budget > 0 {
+		b = append(b, "\r\nX-Budget-Ms: "...)
+		b = strconv.AppendInt(b, max(1, r.budget.Milliseconds()), 10)
+	}
+	if r.key != "" {
+		b = append(b, "\r\nIdempotency-Key: "...)
+		b = append(b, r.key...)
+	}
+	if r.stream.Class != "" {
+		b = append(b, "\r\nX-Class: "...)
+		b = append(b, r.stream.Class...)
+	}
+	for _, h := range r.stream.Headers {
+		b = append(b, "\r\n"...)
+		b = append(b, h.Name...)
+		b = append(b, ": "...)
+		b = append(b, h.Value...)
+	}
+	if len(r.body) > 0 || r.http.Method != http.MethodGet && r.http.Method != http.MethodHead {
+		b = append(b, "\r\nContent-Length: "...)
+		b = strconv.AppendInt(b, int64(len(r.body)), 10)
+	}
+	return append(b, "\r\n\r\n"...)
+}
+
+// New returns a Runner for cfg.
+func New(cfg Config) (*Runner, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	r := &Runner{cfg: cfg, inUse: map[*lane]net.Conn{}, pending: map[*job]*time.Timer{}, wake: make(chan struct{}, 1)}
+	var names []string
+	for i := range cfg.Streams {
+		f, err := traffic.NewFiller(&cfg.Streams[i], cfg.Seed)
+		if err != nil {
+			return nil, fmt.Errorf("load: stream %s: %w", cfg.Streams[i].Name, err)
+		}
+		r.fill = append(r.fill, &filler{Filler: f})
+		names = append(names, cfg.Streams[i].Name)
+	}
+	r.rec = newRecorder(names)
+	return r, nil
+}
+
+// Run makes the run and returns what it has measured. It ends when all that is
+// due has been answered, at the latest Grace after the end of the plan, or with
+// ctx; what is still waiting then counts as unanswered, with the time that it
+// has waited.
+func (r *Runner) Run(ctx context.Context) *Result {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if r.cfg.Span > 0 {
+		ctx, cancel = context.WithTimeout(ctx, r.cfg.Span+r.cfg.Grace)
+		defer cancel()
+	}
+	r.start = time.Now()
+	began := processCPU()
+	var lanes, live sync.WaitGroup
+	liveCtx, stopLive := context.WithCancel(context.Background())
+	live.Go(func() { r.live(liveCtx) })
+	rest, more := r.dispatch(ctx, &lanes)
+	end := r.now()
+	cancel()
+	r.finish(end)
+	lanes.Wait()
+	for ; more && rest.Due <= end; rest, more = r.cfg.Plan.Next() {
+		// The run was cut off: what was due by then has waited in vain.
+		r.due.Add(1)
+		r.queued++
+		r.end(rest.Stream, rest.Due, end, Unanswered)
+	}
+	stopLive()
+	live.Wait()
+	res := r.rec.result()
+	res.Span = end
+	res.Opened, res.Bytes, res.Queued = r.opened.Load(), r.bytes.Load(), r.queued
+	res.CPU, res.Cores = processCPU()-began, runtime.GOMAXPROCS(0)
+	return res
+}
+
+// now is the time since the begin of the run. It does not follow steps of the
+// system's clock.
+func (r *Runner) now() time.Duration { return time.Since(r.start) }
+
+// processCPU is the processor time that this process has used.
+func processCPU() time.Duration {
+	var u syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// openFactor is how many requests may be begun for each connection: those that
+// wait between two tries hold none.
+const openFactor = 16
+
+// dispatch hands out what is due until all has ended or ctx does. It returns
+// the first arrival of the plan that it has not handed out, if there is one.
+//
+// The plan itself is the queue: what finds no lane is not read before there is
+// one, so that a target that stalls costs no memory, however much is due.
+func (r *Runner) dispatch(ctx context.Context, lanes *sync.WaitGroup) (rest traffic.Arrival, more bool) {
+	most := r.cfg.Open
+	if most == 0 {
+		most = openFactor * r.cfg.Conns
+	}
+	var last time.Duration
+	a, more := r.cfg.Plan.Next()
+	for ctx.Err() == nil {
+		j, ok, open := r.popReady()
+		switch {
+		case ok:
+			if !r.hand(ctx, lanes, j) {
+				r.end(j.ask.stream, j.ask.due, r.now(), Unanswered)
+				r.begun(-1)
+			}
+		case more && open >= most:
+			r.wait(ctx, r.now()+time.Second)
+		case more && a.Due > r.now():
+			r.wait(ctx, a.Due)
+		case more:
+			if !r.hand(ctx, lanes, job{ask: ask{due: a.Due, stream: a.Stream, index: a.Index}, could: a.Due}) {
+				return a, true
+			}
+			last = a.Due
+			a, more = r.cfg.Plan.Next()
+		case open == 0 || r.now() >= last+r.cfg.Grace:
+			return a, false
+		default:
+			r.wait(ctx, last+r.cfg.Grace)
+		}
+	}
+	return a, more
+}
+
+// hand gives j to a lane once one is free. It is false if ctx ends before. A
+// request whose caller's patience ends while it waits for a lane is not sent.
+func (r *Runner) hand(ctx context.Context, lanes *sync.WaitGroup, j job) bool {
+	budget := r.cfg.Streams[j.ask.stream].Budget
+	for waited := false; ; waited = true {
+		if now := r.now(); budget > 0 && now >= j.ask.due+budget {
+			if !j.again {
+				r.due.Add(1)
+				r.queued++
+			} else {
+				r.begun(-1)
+			}
+			r.end(j.ask.stream, j.ask.due, now, TimedOut)
+			return true
+		}
+		if l := r.lane(ctx, lanes); l != nil {
+			if waited {
+				j.could = max(j.could, r.now())
+			}
+			if !j.again {
+				if waited {
+					r.queued++
+				}
+				r.due.Add(1)
+				r.begun(1)
+			}
+			l.work <- j
+			return true
+		}
+		until := r.now() + time.Second
+		if budget > 0 {
+			until = min(until, j.ask.due+budget)
+		}
+		if r.wait(ctx, until); ctx.Err() != nil {
+			return false
+		}
+	}
+}
+
+// lane returns a lane that is free, or nil.
+func (r *Runner) lane(ctx context.Context, lanes *sync.WaitGroup) *lane {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n := len(r.idle); n > 0 {
+		l := r.idle[n-1]
+		r.idle = r.idle[:n-1]
+		return l
+	}
+	if r.lanes >= r.cfg.Conns {
+		return nil
+	}
+	l := &lane{r: r, shard: &r.rec.shards[r.lanes%shards], work: make(chan job, 1)}
+	r.lanes++
+	lanes.Go(func() { l.run(ctx) })
+	return l
+}
+
+// spin is how long before a moment the dispatcher stays awake: timers of the
+// system come some ten to hundred microseconds late, which would be the
+// generator's own error on every request.
+const spin = 200 * time.Microsecond
+
+// wait waits until a moment, or until something has changed, or ctx ends.
+func (r *Runner) wait(ctx context.Context, until time.Duration) {
+	if d := until - r.now() - spin; d > 0 {
+		t := time.NewTimer(d)
+		select {
+		case <-ctx.Done():
+		case <-r.wake:
+		case <-t.C:
+		}
+		t.Stop()
+		return
+	}
+	for r.now() < until {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.wake:
+			return
+		default:
+			runtime.Gosched()
+		}
+	}
+}
+
+// rouse wakes the dispatcher.
+func (r *Runner) rouse() {
+	select {
+	case r.wake <- struct{}{}:
+	default: // it is to wake already
+	}
+}
+
+// popReady returns a retry whose time has come, if there is one, and how many
+// requests are open.
+func (r *Runner) popReady() (j job, ok bool, open int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.ready) > 0 {
+		j, ok = r.ready[0], true
+		r.ready = r.ready[1:]
+	}
+	return j, ok, r.open
+}
+
+// begun books that a request has been begun, or has ended.
+func (r *Runner) begun(n int) {
+	r.mu.Lock()
+	r.open += n
+	r.mu.Unlock()
+	if n < 0 {
+		r.rouse()
+	}
+}
+
+// later has j made again after a wait.
+func (r *Runner) later(j job, wait time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j.again, j.could = true, r.now()+wait
+	if r.over {
+		r.end(j.ask.stream, j.ask.due, r.now(), Unanswered)
+		return
+	}
+	p := &j
+	r.pending[p] = time.AfterFunc(wait, func() {
+		r.mu.Lock()
+		if _, ok := r.pending[p]; ok && !r.over {
+			delete(r.pending, p)
+			r.ready = append(r.ready, *p)
+		}
+		r.mu.Unlock()
+		r.rouse()
+	})
+}
+
+// free takes a lane back.
+func (r *Runner) free(l *lane) {
+	r.mu.Lock()
+	if r.over {
+		close(l.work)
+	} else {
+		r.idle = append(r.idle, l)
+	}
+	r.mu.Unlock()
+	r.rouse()
+}
+
+// finish ends the lanes and all that waits between two tries.
+func (r *Runner) finish(end time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.over = true
+	for _, l := range r.idle {
+		close(l.work)
+	}
+	r.idle = nil
+	for _, c := range r.inUse {
+		c.SetDeadline(time.Unix(1, 0))
+	}
+	for p, t := range r.pending {
+		t.Stop()
+		r.end(p.ask.stream, p.ask.due, end, Unanswered)
+	}
+	for _, j := range r.ready {
+		r.end(j.ask.stream, j.ask.due, end, Unanswered)
+	}
+	r.pending, r.ready = map[*job]*time.Timer{}, nil
+}
+
+// track remembers the connection of a lane while it is open. It is false once
+// the run is over.
+func (r *Runner) track(l *lane, c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inUse[l] = c
+	return !r.over
+}
+
+func (r *Runner) untrack(l *lane) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.inUse, l)
+}
+
+// end books the end of a request.
+func (r *Runner) end(stream int, due, at time.Duration, o Outcome) {
+	r.rec.shards[stream%shards].end(stream, due, at, o)
+	r.ended.Add(1)
+}
+
+// live tells how the run stands until ctx ends.
+func (r *Runner) live(ctx context.Context) {
+	if r.cfg.Live == nil {
+		return
+	}
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		r.mu.Lock()
+		open := r.open
+		r.mu.Unlock()
+		r.cfg.Live(Live{At: r.now(), Due: r.due.Load(), Ended: r.ended.Load(), InFlight: open})
+	}
+}
+
+// body is n bytes; all requests share them.
+func (r *Runner) body(n int) []byte {
+	if n > len(bodyBytes) {
+		return make([]byte, n)
+	}
+	return bodyBytes[:n]
+}
+
+var bodyBytes = make([]byte, 1<<20)
--- a/traffic/traffic_test.go
+++ b/traffic/traffic_test.go
@@ -350,3 +350,69 @@
 		f.Content(uint64(i))
 	}
 }
+
+// Who is not served tries again only where that is harmless, as often and after
+// as long as callers of the kind do.
+func TestClientNext(t *testing.T) {
+	for _, c := range []struct {
+		client   Client
+		retries  int
+		harmless bool
+		after    time.Duration
+		heeds    bool
+		wait     time.Duration
+		again    bool
+	}{
+		{Client{}, 0, true, 0, false, 0, false},
+		{Client{Retries: 2}, 1, true, 0, false, 0, true},
+		{Client{Retries: 2}, 2, true, 0, false, 0, false},
+		{Client{Retries: 2}, 0, false, 0, false, 0, false},
+		{Client{Retries: 9, Wait: 10 * ms}, 3, true, 0, false, 10 * ms, true},
+		{Client{Retries: 9, Wait: 10 * ms, Grow: true}, 3, true, 0, false, 80 * ms, true},
+		{Client{Retries: 99, Wait: 10 * ms, Grow: true}, 50, true, 0, false, maxWait, true},
+		{Client{Retries: 9, Wait: 10 * ms}, 0, true, time.Second, true, time.Second, true},
+		{Client{Retries: 9, Wait: 10 * ms}, 0, true, time.Second, false, 10 * ms, true},
+		{Client{Retries: 9, Wait: 10 * ms}, 0, true, ms, true, 10 * ms, true},
+	} {
+		wait, again := c.client.Next(c.retries, c.harmless, c.after, c.heeds)
+		if wait != c.wait || again != c.again {
+			t.Errorf("%+v: %v, %t", c, wait, again)
+		}
+	}
+	for _, c := range []Client{{Retries: -1}, {Wait: -1}, {Wait: time.Hour}, {Honour: 2}, {Leave: -1}, {Leave: math.NaN()}, {Leave: 0.5}} {
+		if c.Check() == nil {
+			t.Errorf("%+v was taken", c)
+		}
+	}
+}
+
+// Callers' characters have their shares, and each try its own id; both follow
+// from the seed and the number alone.
+func TestCallers(t *testing.T) {
+	s := &Stream{Name: "a", Path: "/"}
+	f, _ := NewFiller(s, 3)
+	g, _ := NewFiller(s, 3)
+	c := &Client{Honour: 0.3, Leave: 0.1}
+	heeds, leaves := 0.0, 0.0
+	ids := map[string]bool{}
+	for i := range uint64(10000) {
+		k := f.Caller(c, i)
+		if k != g.Caller(c, i) {
+			t.Fatalf("two characters of caller %d", i)
+		}
+		if k.Heeds {
+			heeds++
+		}
+		if k.Leaves {
+			leaves++
+		}
+		for try := range 3 {
+			ids[f.CallID(i, try)] = true
+		}
+	}
+	near(t, "share that heeds", heeds/10000, 0.3, 0.03)
+	near(t, "share that leaves", leaves/10000, 0.1, 0.02)
+	if len(ids) != 30000 || f.CallID(7, 1) != g.CallID(7, 1) {
+		t.Errorf("%d ids for 30000 tries", len(ids))
+	}
+}
