A listener that takes over an address no longer duplicates its socket

Twenty rounds of the daemon's tests under the race detector hung in one reload: duplicating a listener through net.FileListener makes the shared description block for a moment, and an Accept that falls into it sleeps in the kernel, so that closing the old listener waits for the next connection. A door now holds the socket once and leads its connections to whoever is in force.

TestListenersChange held 60 of 60 rounds under the race detector; before, one of about ten hung.

--- a/internal/daemon/apply.go
+++ b/internal/daemon/apply.go
@@ -62,7 +62,9 @@
 // undo lets go of what prepare has made.
 func (p *plan) undo() {
 	for _, l := range p.opened {
-		l.l.Close()
+		if !l.takesOver {
+			l.door.l.Close()
+		}
 	}
 	for _, s := range p.fresh {
 		s.sharing = p.replaced[s.cfg.Name] != nil
@@ -79,21 +81,20 @@
 }
 
 // open makes a listener. One that takes the address of another, which is to
-// end, takes over its socket: there is no moment without one.
+// end, takes over its door: there is no moment without one.
 func (p *plan) open(c *config.Listener, t *httpfront.Table) error {
 	l := &listener{cfg: *c}
-	var err error
-	if old := p.holds(c); old != nil {
-		l.l, err = duplicate(old.l)
-	} else {
-		l.l, err = listen(c.Address)
-	}
-	if err != nil {
-		return fmt.Errorf("listeners.%s: %w", c.Name, err)
-	}
 	l.judge = httpfront.NewRouted(t, c.Form == config.Strict, c.ClassHeader, p.d.keys, p.d.ids)
 	l.callers = httpfront.NewCallers(l.judge, c.Connections, httpfront.Times{Hello: c.Hello, Request: c.Request, Idle: c.Idle})
 	l.callers.Remote = c.Form == config.Ordinary
+	if old := p.holds(c); old != nil {
+		l.door, l.takesOver = old.door, true
+	} else {
+		var err error
+		if l.door, err = newDoor(c.Address, l.callers); err != nil {
+			return fmt.Errorf("listeners.%s: %w", c.Name, err)
+		}
+	}
 	p.opened = append(p.opened, l)
 	return nil
 }
@@ -410,13 +411,22 @@
 // let go of their callers as no request is open on them.
 func (p *plan) commitListeners() {
 	d := p.d
+	for _, l := range p.opened {
+		if l.takesOver {
+			l.door.leadTo(l.callers)
+		} else {
+			go l.door.serve()
+		}
+	}
 	for _, name := range slices.Sorted(maps.Keys(d.listeners)) {
 		old := d.listeners[name]
 		stays := slices.ContainsFunc(p.cfg.Listeners, func(c config.Listener) bool { return c.Name == name && sameListener(&old.cfg, &c) })
 		if stays {
 			continue
 		}
-		old.l.Close()
+		if !slices.ContainsFunc(p.opened, func(l *listener) bool { return l.door == old.door }) {
+			old.door.l.Close()
+		}
 		delete(d.listeners, name)
 		p.say("listener %s: %s is let go of", name, old.cfg.Address)
 		if t := p.tables[name]; t != nil { // in another form
@@ -426,9 +436,8 @@
 		go old.callers.Drain(time.Now().Add(d.cfg.LongestDeadline() + time.Minute))
 	}
 	for _, l := range p.opened {
-		l.serve()
 		d.listeners[l.cfg.Name] = l
-		p.say("listener %s: %s, form %s", l.cfg.Name, l.l.Addr(), l.cfg.Form)
+		p.say("listener %s: %s, form %s", l.cfg.Name, l.door.l.Addr(), l.cfg.Form)
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,9 +51,11 @@
 // listener is an address and its callers.
 type listener struct {
 	cfg     config.Listener
-	l       net.Listener
+	door    *door
 	judge   *httpfront.Routed
 	callers *httpfront.Callers
+
+	takesOver bool // the door of the listener that had its address
 }
 
 // Start serves by cfg. With an error nothing is left running.
@@ -81,7 +83,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if l := d.listeners[name]; l != nil {
-		return l.l.Addr()
+		return l.door.l.Addr()
 	}
 	return nil
 }
@@ -215,7 +217,7 @@
 	time.Sleep(min(coming, time.Until(deadline)))
 	var wg sync.WaitGroup
 	for _, l := range listeners {
-		l.l.Close()
+		l.door.l.Close()
 		wg.Go(func() { l.callers.Drain(deadline) })
 	}
 	wg.Wait()
@@ -232,7 +234,7 @@
 	defer d.mu.Unlock()
 	d.closed = true
 	for _, l := range d.listeners {
-		l.l.Close()
+		l.door.l.Close()
 		go l.callers.Drain(time.Now())
 	}
 	for _, s := range d.services {
@@ -256,15 +258,6 @@
 	return seed
 }
 
-// serve starts to take the callers of l.
-func (l *listener) serve() {
-	go func() {
-		if err := l.callers.Serve(l.l); !errors.Is(err, net.ErrClosed) {
-			slog.Error("listener ended", "listener", l.cfg.Name, "error", err)
-		}
-	}()
-}
-
 func newConns(p *config.Pool, bound int) *upstream.Pool {
 	return upstream.New(upstream.Config{
 		DialTimeout: p.ConnectTimeout,
--- a/internal/front/http/callers.go
+++ b/internal/front/http/callers.go
@@ -66,7 +66,10 @@
 }
 
 // Serve takes connections from l until it is closed.
-func (cs *Callers) Serve(l net.Listener) error {
+func (cs *Callers) Serve(l net.Listener) error { return Accept(l, cs.Take) }
+
+// Accept hands each connection that comes to l to take, until l is closed.
+func Accept(l net.Listener, take func(net.Conn)) error {
 	for {
 		nc, err := l.Accept()
 		if err != nil {
@@ -77,9 +80,14 @@
 			}
 			return err
 		}
-		if c := cs.admit(nc); c != nil {
-			go c.serve()
-		}
+		take(nc)
+	}
+}
+
+// Take takes one connection and serves it.
+func (cs *Callers) Take(nc net.Conn) {
+	if c := cs.admit(nc); c != nil {
+		go c.serve()
 	}
 }
 
