--- a/cmd/gorselink/main.go
+++ b/cmd/gorselink/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -20,6 +21,7 @@
 	Serve   serveCommand   `cmd:"" help:"Serve by a configuration file. SIGHUP reads it again, SIGTERM drains."`
 	Check   checkCommand   `cmd:"" help:"Read a configuration file whole and tell everything that is wrong with it."`
 	Demo    demoCommand    `cmd:"" help:"Run two services of stand-in nodes on loopback, with traffic and a live table."`
+	Load    loadCommand    `cmd:"" help:"Make requests when they are due, whatever becomes of those before, and tell how long each waited."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
@@ -38,7 +40,12 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	if err := run(&shell{ctx, reload, os.Stdout}, os.Args[1:], os.Getenv("ROUTER_CONFIG")); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		code := 1
+		var c coded
+		if errors.As(err, &c) {
+			code = c.code
+		}
+		os.Exit(code)
 	}
 }
 
--- a/traffic/plan.go
+++ b/traffic/plan.go
@@ -252,3 +252,33 @@
 	c.Path = path.String()
 	return c
 }
+
+// Check tells what of the stream could not stand in a request, or nil.
+func (s *Stream) Check() error {
+	if s.Method != "" && !isToken(s.Method) {
+		return fmt.Errorf("method %q, want a token", s.Method)
+	}
+	if !strings.HasPrefix(s.Path, "/") || !isText(s.Path) || strings.Contains(s.Path, " ") {
+		return fmt.Errorf("path %q, want a slash first and no spaces", s.Path)
+	}
+	if !isText(s.Host) || strings.Contains(s.Host, " ") || !isText(s.Class) {
+		return fmt.Errorf("host %q and class %q, want texts of one line", s.Host, s.Class)
+	}
+	if s.Body < 0 || s.Keys < 0 || s.Budget < 0 {
+		return fmt.Errorf("body %d, keys %d, budget %v: want none below 0", s.Body, s.Keys, s.Budget)
+	}
+	for _, h := range s.Headers {
+		if !isToken(h.Name) || !isText(h.Value) {
+			return fmt.Errorf("header %q: %q, want a token and a text of one line", h.Name, h.Value)
+		}
+	}
+	return nil
+}
+
+func isText(s string) bool {
+	return !strings.ContainsFunc(s, func(c rune) bool { return c < ' ' || c >= 0x7f })
+}
+
+func isToken(s string) bool {
+	return s != "" && isText(s) && !strings.ContainsAny(s, " \"(),/:;<=>?@[\\]{}")
+}
--- a/traffic/traffic_test.go
+++ b/traffic/traffic_test.go
@@ -416,3 +416,28 @@
 		t.Errorf("%d ids for 30000 tries", len(ids))
 	}
 }
+
+func TestStreamCheck(t *testing.T) {
+	good := Stream{Name: "a", Method: "PATCH", Host: "a.b:80", Path: "/{n}?x=1", Class: "pay", Headers: []Header{{"X-Tenant", "acme"}}}
+	if err := good.Check(); err != nil {
+		t.Error(err)
+	}
+	for name, change := range map[string]func(*Stream){
+		"method":       func(s *Stream) { s.Method = "GET /" },
+		"path":         func(s *Stream) { s.Path = "x" },
+		"a second one": func(s *Stream) { s.Path = "/ HTTP/1.1\r\nHost: y" },
+		"host":         func(s *Stream) { s.Host = "a\r\nX: y" },
+		"class":        func(s *Stream) { s.Class = "a\nb" },
+		"header":       func(s *Stream) { s.Headers = []Header{{"X:", "y"}} },
+		"value":        func(s *Stream) { s.Headers = []Header{{"X", "y\r\nZ: 1"}} },
+		"body":         func(s *Stream) { s.Body = -1 },
+		"keys":         func(s *Stream) { s.Keys = -1 },
+		"budget":       func(s *Stream) { s.Budget = -1 },
+	} {
+		s := good
+		change(&s)
+		if s.Check() == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
