Compare two runs by bootstrap; the generator's own lateness falls from 0.4 ms

Two reports are paired with a 95% interval for each figure, by a bootstrap over whole seconds; the exit code tells whether anything is beyond noise.

The runtime's timers rest on epoll's milliseconds, and the generator was 406 us late in the median at 1,000 a second.

--- a/cmd/gorselink/load.go
+++ b/cmd/gorselink/load.go
@@ -15,6 +15,49 @@
 )
 
 type loadCommand struct {
+	Run     loadRun     `cmd:"" default:"withargs" help:"Make a run; what load does by itself."`
+	Compare loadCompare `cmd:"" help:"Pair the reports of two runs and tell what is beyond noise."`
+}
+
+type loadCompare struct {
+	A    string `arg:"" type:"path" help:"The report of a run, as --json writes it."`
+	B    string `arg:"" type:"path" help:"The report of another one."`
+	Seed uint64 `default:"1" help:"Of the bootstrap's draws."`
+}
+
+// exitDifferent is the exit code of a comparison in which something is beyond
+// noise.
+const exitDifferent = 4
+
+// Run compares two reports.
+func (c *loadCompare) Run(s *shell) error {
+	var reports [2]*load.Report
+	for i, path := range []string{c.A, c.B} {
+		f, err := os.Open(path)
+		if err != nil {
+			return fmt.Errorf("gorselink: load compare: %w", err)
+		}
+		reports[i], err = load.ReadReport(f)
+		f.Close()
+		if err != nil {
+			return fmt.Errorf("gorselink: load compare: %s: %w", path, err)
+		}
+	}
+	all, err := load.Compare(reports[0], reports[1], c.Seed)
+	if err != nil {
+		return fmt.Errorf("gorselink: load: %w", err)
+	}
+	beyond, err := load.WriteDifferences(s.out, all)
+	if err != nil {
+		return err
+	}
+	if beyond > 0 {
+		return coded{fmt.Errorf("gorselink: load compare: %d figures differ beyond noise", beyond), exitDifferent}
+	}
+	return nil
+}
+
+type loadRun struct {
 	Target   string        `required:"" help:"Where the requests go, address:port."`
 	Shape    string        `default:"hold 100 10s" help:"The rate over time: parts of hold RATE FOR, ramp FROM TO FOR, step FROM TO LEVELS FOR, spike BASE PEAK RISE FOR, wave MEAN SWING PERIOD FOR, set apart by commas."`
 	Arrivals string        `default:"poisson" enum:"even,poisson" help:"How the requests lie within the shape."`
@@ -41,7 +84,7 @@
 	Leave      float64       `help:"Share of callers that leave before the answer."`
 	LeaveAfter time.Duration `default:"100ms" help:"How long those wait."`
 
-	JSON     string `type:"path" help:"Write the report there, for gorselink load and scripts."`
+	JSON     string `type:"path" help:"Write the report there, for gorselink load compare and scripts."`
 	Hgrm     string `type:"path" help:"Write the percentiles there, for HdrHistogram's plotter."`
 	Quiet    bool   `help:"No line a second."`
 	Anywhere bool   `help:"Let the target be on another machine. You answer for whose it is."`
@@ -58,7 +101,7 @@
 }
 
 // Run makes the run and writes what it has measured.
-func (c *loadCommand) Run(s *shell) error {
+func (c *loadRun) Run(s *shell) error {
 	cfg, err := c.config()
 	if err != nil {
 		return fmt.Errorf("gorselink: load: %w", err)
@@ -86,7 +129,7 @@
 }
 
 // config is the run that the flags ask for.
-func (c *loadCommand) config() (*load.Config, error) {
+func (c *loadRun) config() (*load.Config, error) {
 	if err := c.checkTarget(); err != nil {
 		return nil, err
 	}
@@ -125,7 +168,7 @@
 
 // checkTarget refuses what is not on this machine: a generator that is aimed
 // wrong is an attack.
-func (c *loadCommand) checkTarget() error {
+func (c *loadRun) checkTarget() error {
 	if c.Anywhere {
 		_, _, err := net.SplitHostPort(c.Target)
 		return err
@@ -140,7 +183,7 @@
 	return nil
 }
 
-func (c *loadCommand) write(out io.Writer, rep *load.Report) error {
+func (c *loadRun) write(out io.Writer, rep *load.Report) error {
 	if err := rep.WriteText(out); err != nil {
 		return err
 	}
--- a/cmd/gorselink/load_test.go
+++ b/cmd/gorselink/load_test.go
@@ -80,3 +80,17 @@
 		}
 	}
 }
+
+// Reports that cannot be compared are told, with their file.
+func TestLoadCompareCommand(t *testing.T) {
+	dir := t.TempDir()
+	broken := filepath.Join(dir, "broken.json")
+	put(t, broken, "{}")
+	for _, path := range []string{broken, filepath.Join(dir, "none.json")} {
+		var out screen
+		err := run(&shell{ctx: context.Background(), out: &out}, []string{"load", "compare", path, path}, "")
+		if err == nil || !strings.Contains(err.Error(), filepath.Base(path)) {
+			t.Errorf("%s: %v", path, err)
+		}
+	}
+}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -54,6 +54,7 @@
 	P50      float64          `json:"p50_ms"`
 	P99      float64          `json:"p99_ms"`
 	Max      float64          `json:"max_ms"`
+	Buckets  Sparse           `json:"buckets"` // of the latency in µs, by their lowest value
 }
 
 // Times are a histogram's figures in milliseconds, and the histogram itself in
@@ -158,7 +159,7 @@
 		h := s.Latency.Histogram()
 		rep.Seconds = append(rep.Seconds, SecondReport{
 			Due: s.Due, Served: s.Ended, Outcomes: named(s.Outcomes),
-			P50: float64(h.ValueAtQuantile(50)) / 1000, P99: float64(h.ValueAtQuantile(99)) / 1000, Max: float64(h.Max()) / 1000,
+			P50: float64(h.ValueAtQuantile(50)) / 1000, P99: float64(h.ValueAtQuantile(99)) / 1000, Max: float64(h.Max()) / 1000, Buckets: s.Latency,
 		})
 	}
 	return rep, nil
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -305,30 +305,41 @@
 	return l
 }
 
-// spin is how long before a moment the dispatcher stays awake: timers of the
-// system come some ten to hundred microseconds late, which would be the
-// generator's own error on every request.
-const spin = 200 * time.Microsecond
+// How the dispatcher waits. The runtime's timers rest on epoll, which counts
+// milliseconds, so they come up to one late; the system's own sleep comes some
+// ten microseconds late; only staying awake is exact. Each is used for what is
+// left when the one before has become too coarse.
+const (
+	coarse = 3 * time.Millisecond   // more than this is left to a timer, which can be woken
+	fine   = 120 * time.Microsecond // less than this is spent awake
+	nap    = 500 * time.Microsecond // the longest sleep that cannot be woken
+)
 
-// wait waits until a moment, or until something has changed, or ctx ends.
+// wait waits until a moment, or until something has changed, or ctx ends. It
+// may return before.
 func (r *Runner) wait(ctx context.Context, until time.Duration) {
-	if d := until - r.now() - spin; d > 0 {
-		t := time.NewTimer(d)
+	if d := until - r.now(); d > coarse {
+		t := time.NewTimer(d - coarse/2)
+		defer t.Stop()
 		select {
 		case <-ctx.Done():
 		case <-r.wake:
 		case <-t.C:
 		}
-		t.Stop()
 		return
 	}
-	for r.now() < until {
+	for d := until - r.now(); d > 0; d = until - r.now() {
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.wake:
 			return
 		default:
+		}
+		if d > fine {
+			ts := syscall.NsecToTimespec(int64(min(d-fine, nap)))
+			syscall.Nanosleep(&ts, nil)
+		} else {
 			runtime.Gosched()
 		}
 	}
