The generator's own error by a model; a verdict held against what it reports

Cause: a target that stood still for a second was counted as the generator's own error (p99.9 659 ms on an idle machine), as only the request that itself waited had its moment moved on; and every run against a quick target was void, its median error of 23 us being over 5% of 253 us.

What a late dispatcher holds up behind it is kept beside it, so that a queue of its own making is not laid on too few connections. Own error and since due are compared percentile by percentile, where ten requests lie beyond, and against a floor measured by an echo at the begin. Exhausted processor, late dispatcher and too few connections are three sentences, the last a note. Plans take recorded requests as a further source.

--- a/cmd/gorselink/load.go
+++ b/cmd/gorselink/load.go
@@ -115,14 +115,20 @@
 	if err != nil {
 		return fmt.Errorf("gorselink: %w", err)
 	}
-	rep, err := r.Run(s.ctx).Report()
+	floor, err := load.MeasureFloor(s.ctx)
+	if err != nil {
+		return fmt.Errorf("gorselink: %w", err)
+	}
+	res := r.Run(s.ctx)
+	res.Floor = floor
+	rep, err := res.Report()
 	if err != nil {
 		return fmt.Errorf("gorselink: load: %w", err)
 	}
 	if err := c.write(s.out, rep); err != nil {
 		return fmt.Errorf("gorselink: load: %w", err)
 	}
-	if len(rep.Bottleneck) > 0 {
+	if len(rep.Verdict.Void) > 0 {
 		return coded{errors.New("gorselink: load: the generator was the bottleneck"), exitBottleneck}
 	}
 	return nil
--- a/internal/load/compare_test.go
+++ b/internal/load/compare_test.go
@@ -22,8 +22,8 @@
 			if rng.Float64() < tail {
 				took += 10 * mean
 			}
-			rec.shards[0].first(0, took, OK)
-			rec.shards[0].end(0, due, due+took, OK)
+			rec.shards[0].first(took, OK)
+			rec.shards[0].end(0, due, due+took, OK, toll{})
 		}
 	}
 	r := rec.result()
--- a/internal/load/lane.go
+++ b/internal/load/lane.go
@@ -31,9 +31,24 @@
 // job is a request to be made.
 type job struct {
 	ask     ask
-	could   time.Duration // when it could have been sent: due, or when a lane was free for it
+	ready   time.Duration // when this try was due
+	sent    time.Duration // when the dispatcher gave it to its lane
 	again   bool          // not its first try
 	retries int
+	toll    toll
+}
+
+// toll is what the way to the target has cost a request over all its tries.
+type toll struct {
+	own    time.Duration // the generator's own error
+	held   time.Duration // with what it has held up, see traffic.Lateness
+	waited time.Duration // for a connection
+}
+
+func (t *toll) add(l traffic.Lateness) {
+	t.own += l.Own
+	t.held += l.Held
+	t.waited += l.Waited
 }
 
 // ask is one request as it is due.
@@ -41,6 +56,11 @@
 	due    time.Duration
 	stream int
 	index  uint64
+	record *traffic.Ask // nil if the stream says all
+}
+
+func asked(a traffic.Arrival) ask {
+	return ask{due: a.Due, stream: a.Stream, index: a.Index, record: a.Ask}
 }
 
 // maxAnswer bounds the body that is read of an answer: a target that never
@@ -51,13 +71,13 @@
 func (l *lane) run(ctx context.Context) {
 	defer l.close()
 	for j := range l.work {
-		l.do(ctx, j)
-		l.r.free(l)
+		l.r.free(l, l.do(ctx, j))
 	}
 }
 
-// do makes one try of j, books it and says what follows.
-func (l *lane) do(ctx context.Context, j job) {
+// do makes one try of j, books it and says what follows. It returns when the
+// connection had become free.
+func (l *lane) do(ctx context.Context, j job) (ended time.Duration) {
 	r, s := l.r, &l.r.cfg.Streams[j.ask.stream]
 	f := r.fill[j.ask.stream]
 	f.mu.Lock()
@@ -66,7 +86,10 @@
 	id := f.CallID(j.ask.index, j.retries)
 	f.mu.Unlock()
 	begin := r.now()
-	req := &request{stream: s, path: content.Path, key: content.Key, id: id, body: r.body(s.Body), http: &http.Request{Method: cmp.Or(s.Method, http.MethodGet)}}
+	j.toll.own += begin - j.sent
+	j.toll.held += begin - j.sent
+	req := newRequest(s, j.ask.record, content)
+	req.id = id
 	deadline := farOff
 	if s.Budget > 0 {
 		deadline = j.ask.due + s.Budget
@@ -76,24 +99,39 @@
 		req.leave = r.start.Add(begin + r.cfg.Client.LeaveAfter)
 	}
 	o, retryAfter := l.try(ctx, req, r.start.Add(deadline))
-	ended := r.now()
+	ended = r.now()
 	if ctx.Err() != nil && (o == Broken || o == NoConn || o == TimedOut || o == LeftEarly) && ended < deadline {
 		o = Unanswered
 	}
 	if j.again {
 		l.shard.again(ended-begin, o)
 	} else {
-		l.shard.first(begin-j.could, ended-begin, o)
+		l.shard.first(ended-begin, o)
 	}
 	harmless := o == Refused || o == NoConn || (o == Failed || o == Broken) && (s.Keyed || safe(req.http.Method))
 	if wait, again := r.cfg.Client.Next(j.retries, harmless, retryAfter, caller.Heeds); again && ended+wait < deadline {
 		j.retries++
-		r.later(j, wait)
-		return
+		r.later(j, ended, wait)
+		return ended
 	}
-	l.shard.end(j.ask.stream, j.ask.due, ended, o)
+	l.shard.end(j.ask.stream, j.ask.due, ended, o, j.toll)
 	r.ended.Add(1)
-	r.begun(-1)
+	r.left(ended)
+	return ended
+}
+
+// newRequest is what one try of an arrival of s sends: what the record asks, if
+// there is one, and what the stream says where that is empty.
+func newRequest(s *traffic.Stream, record *traffic.Ask, c traffic.Content) *request {
+	req := &request{stream: s, host: s.Host, class: s.Class, path: c.Path, key: c.Key}
+	method, body := s.Method, s.Body
+	if record != nil {
+		method, body = cmp.Or(record.Method, method), record.Body
+		req.host, req.class, req.path = cmp.Or(record.Host, req.host), cmp.Or(record.Class, req.class), record.Path
+	}
+	req.body = bodyOf(body)
+	req.http = &http.Request{Method: cmp.Or(method, http.MethodGet)}
+	return req
 }
 
 // farOff is the deadline of a request without one, beyond any run.
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -362,9 +362,9 @@
 			sh := &rec.shards[i%shards]
 			took := time.Duration(a.Index*a.Index%977+1) * 137 * time.Microsecond
 			o := Outcome(a.Index % uint64(Outcomes))
-			sh.first(took/7, took, o)
+			sh.first(took, o)
 			sh.again(took/3, o)
-			sh.end(a.Stream, a.Due, a.Due+took, o)
+			sh.end(a.Stream, a.Due, a.Due+took, o, toll{own: took / 7, held: took / 5, waited: took / 9})
 		}
 	}
 	one := measure(traffic.NewPlan(s, 1), newRecorder([]string{"a", "b"}))
@@ -375,8 +375,10 @@
 	if one.Requests() < 10000 || one.Outcomes != merged.Outcomes || one.First != merged.First || one.Again != merged.Again {
 		t.Errorf("%v and %v", one.Outcomes, merged.Outcomes)
 	}
-	if !one.Latency.Equals(merged.Latency) || !one.Service.Equals(merged.Service) || !one.Retries.Equals(merged.Retries) || !one.Schedule.Equals(merged.Schedule) {
-		t.Error("the histograms differ")
+	for i, h := range one.histograms() {
+		if !(*h).Equals(*merged.histograms()[i]) {
+			t.Errorf("histogram %d differs", i)
+		}
 	}
 	for i := range one.Streams {
 		if !one.Streams[i].Latency.Equals(merged.Streams[i].Latency) || one.Streams[i].Outcomes != merged.Streams[i].Outcomes {
--- a/internal/load/record.go
+++ b/internal/load/record.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"errors"
 	"math/bits"
 	"sync"
 	"time"
@@ -83,7 +84,9 @@
 	Latency  *hdrhistogram.Histogram // from when a request was due to its last answer
 	Service  *hdrhistogram.Histogram // of the first try, from when its sending began
 	Retries  *hdrhistogram.Histogram // the same of the later tries
-	Schedule *hdrhistogram.Histogram // from when a first try could have been sent to when it was
+	Schedule *hdrhistogram.Histogram // the generator's own error, over all tries
+	Held     *hdrhistogram.Histogram // the same with what it has held up behind it
+	Waited   *hdrhistogram.Histogram // for a connection, over all tries
 	Outcomes [Outcomes]int64         // of requests
 	First    [Outcomes]int64         // of first tries
 	Again    [Outcomes]int64         // of later ones
@@ -91,9 +94,13 @@
 	Seconds  []Second
 	Opened   int64         // connections
 	Queued   int64         // requests that found every connection in use
+	Conns    int           // at most
 	CPU      time.Duration // of this process
 	Cores    int
-	Bytes    int64 // of answers' bodies
+	Machine  machine // what all processes used
+	Bytes    int64   // of answers' bodies
+	Floor    *Floor  // what the machine costs by itself; nil if it was not measured
+	Err      error   // what broke the plan off; nil if it came to its end
 }
 
 // StreamResult is the part of one stream.
@@ -113,7 +120,7 @@
 
 // newResult returns an empty Result for streams with these names.
 func newResult(names []string) *Result {
-	r := &Result{Latency: newHist(), Service: newHist(), Retries: newHist(), Schedule: newHist()}
+	r := &Result{Latency: newHist(), Service: newHist(), Retries: newHist(), Schedule: newHist(), Held: newHist(), Waited: newHist()}
 	for _, name := range names {
 		r.Streams = append(r.Streams, StreamResult{Name: name, Latency: newHist()})
 	}
@@ -136,6 +143,8 @@
 	r.Service.Merge(o.Service)
 	r.Retries.Merge(o.Retries)
 	r.Schedule.Merge(o.Schedule)
+	r.Held.Merge(o.Held)
+	r.Waited.Merge(o.Waited)
 	for k := range Outcomes {
 		r.Outcomes[k] += o.Outcomes[k]
 		r.First[k] += o.First[k]
@@ -160,8 +169,11 @@
 	}
 	r.Opened += o.Opened
 	r.Queued += o.Queued
+	r.Conns += o.Conns
 	r.CPU += o.CPU
 	r.Cores = max(r.Cores, o.Cores)
+	r.Machine.merge(o.Machine)
+	r.Err = errors.Join(r.Err, o.Err)
 	r.Bytes += o.Bytes
 }
 
@@ -188,11 +200,10 @@
 	return rec
 }
 
-// first books a first try: how late it was sent, and how it ended.
-func (s *shard) first(late, service time.Duration, o Outcome) {
+// first books a first try: how long it took, and how it ended.
+func (s *shard) first(service time.Duration, o Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.r.Schedule.RecordValue(micros(late))
 	s.r.Service.RecordValue(micros(service))
 	s.r.First[o]++
 }
@@ -206,11 +217,14 @@
 }
 
 // end books a request that was due at a time and ended at another.
-func (s *shard) end(stream int, due, ended time.Duration, o Outcome) {
+func (s *shard) end(stream int, due, ended time.Duration, o Outcome, t toll) {
 	us := micros(ended - due)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.r.Latency.RecordValue(us)
+	s.r.Schedule.RecordValue(micros(t.own))
+	s.r.Held.RecordValue(micros(t.held))
+	s.r.Waited.RecordValue(micros(t.waited))
 	s.r.Outcomes[o]++
 	st := &s.r.Streams[stream]
 	st.Latency.RecordValue(us)
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -14,26 +16,33 @@
 // Report is a Result as it is written and read again: figures for people, and
 // the histograms whole, so that runs can be compared and merged later.
 type Report struct {
-	Schema     int              `json:"schema"`
-	Span       float64          `json:"span_s"`
-	Requests   int64            `json:"requests"`
-	Offered    float64          `json:"offered_per_s"`
-	Served     float64          `json:"served_per_s"`
-	Outcomes   map[string]int64 `json:"outcomes"`
-	First      map[string]int64 `json:"first_tries"`
-	Again      map[string]int64 `json:"later_tries"`
-	Latency    Times            `json:"latency"`  // from when a request was due
-	Service    Times            `json:"service"`  // of the first try, from its sending
-	Retries    Times            `json:"retries"`  // of the later tries
-	Schedule   Times            `json:"schedule"` // the generator's own lateness
-	Streams    []StreamReport   `json:"streams"`
-	Seconds    []SecondReport   `json:"seconds"`
-	Opened     int64            `json:"connections_opened"`
-	Queued     int64            `json:"waited_for_a_connection"`
-	CPU        float64          `json:"cpu_s"`
-	Cores      int              `json:"cores"`
-	Bytes      int64            `json:"answer_bytes"`
-	Bottleneck []string         `json:"bottleneck"` // why the generator may be what was measured; empty if it was not
+	Schema   int              `json:"schema"`
+	Span     float64          `json:"span_s"`
+	Requests int64            `json:"requests"`
+	Offered  float64          `json:"offered_per_s"`
+	Served   float64          `json:"served_per_s"`
+	Outcomes map[string]int64 `json:"outcomes"`
+	First    map[string]int64 `json:"first_tries"`
+	Again    map[string]int64 `json:"later_tries"`
+	Latency  Times            `json:"latency"`  // from when a request was due
+	Service  Times            `json:"service"`  // of the first try, from its sending
+	Retries  Times            `json:"retries"`  // of the later tries
+	Schedule Times            `json:"schedule"` // the generator's own error
+	Held     Times            `json:"held"`     // the same with what it has held up behind it
+	Waited   Times            `json:"waited"`   // for a connection
+	Streams  []StreamReport   `json:"streams"`
+	Seconds  []SecondReport   `json:"seconds"`
+	Opened   int64            `json:"connections_opened"`
+	Queued   int64            `json:"waited_for_a_connection"`
+	Conns    int              `json:"connections_at_most"`
+	CPU      float64          `json:"cpu_s"`
+	Cores    int              `json:"cores"`
+	Busy     float64          `json:"machine_busy_s"` // of all processes
+	Machine  float64          `json:"machine_s"`
+	Bytes    int64            `json:"answer_bytes"`
+	Floor    *Floor           `json:"floor"`
+	Verdict  Verdict          `json:"verdict"`
+	Broken   string           `json:"broken_off"` // why the plan did not come to its end; empty if it did
 }
 
 // schema is the version of Report's form. A later one may add keys.
@@ -102,47 +111,25 @@
 	return m
 }
 
-const (
-	// errorShare of the median latency is how late the generator itself may
-	// be, in the median, before its word is in doubt.
-	errorShare = 0.05
-	// cpuShare of the processor time that there is may be used by the
-	// generator: beyond it requests wait for the generator to run.
-	cpuShare = 0.95
-)
-
-// Bottleneck tells why the generator, and not the target, may be what was
-// measured; nothing if there is no such cause.
-func (r *Result) Bottleneck() (why []string) {
-	late, p50 := r.Schedule.ValueAtQuantile(50), r.Latency.ValueAtQuantile(50)
-	if r.Schedule.TotalCount() > 0 && float64(late) > errorShare*float64(p50) {
-		why = append(why, fmt.Sprintf("half of the requests were sent over %v late by the generator itself, which is more than %.0f%% of the median latency, %v",
-			time.Duration(late)*time.Microsecond, 100*errorShare, time.Duration(p50)*time.Microsecond))
-	}
-	if have := r.Span.Seconds() * float64(r.Cores); have > 0 && r.CPU.Seconds() > cpuShare*have {
-		why = append(why, fmt.Sprintf("the generator used %.1f s of the %.1f s of processor time that there were", r.CPU.Seconds(), have))
-	}
-	return why
-}
-
 // Report returns r as it is written.
 func (r *Result) Report() (*Report, error) {
 	rep := &Report{
 		Schema: schema, Span: r.Span.Seconds(), Requests: r.Requests(),
 		Outcomes: named(r.Outcomes), First: named(r.First), Again: named(r.Again),
-		Opened: r.Opened, Queued: r.Queued, CPU: r.CPU.Seconds(), Cores: r.Cores, Bytes: r.Bytes,
-		Bottleneck: r.Bottleneck(),
+		Opened: r.Opened, Queued: r.Queued, Conns: r.Conns, CPU: r.CPU.Seconds(), Cores: r.Cores, Busy: r.Machine.busy, Machine: r.Machine.all, Bytes: r.Bytes,
+		Floor: r.Floor, Verdict: r.Verdict(),
+	}
+	if r.Err != nil {
+		rep.Broken = r.Err.Error()
 	}
 	if rep.Span > 0 {
 		rep.Offered = float64(rep.Requests) / rep.Span
 		rep.Served = float64(r.Outcomes[OK]) / rep.Span
 	}
-	for _, h := range []struct {
-		to   *Times
-		from *hdrhistogram.Histogram
-	}{{&rep.Latency, r.Latency}, {&rep.Service, r.Service}, {&rep.Retries, r.Retries}, {&rep.Schedule, r.Schedule}} {
+	to, from := rep.times(), r.histograms()
+	for i := range to {
 		var err error
-		if *h.to, err = timesOf(h.from); err != nil {
+		if *to[i], err = timesOf(*from[i]); err != nil {
 			return nil, err
 		}
 	}
@@ -165,6 +152,58 @@
 	return rep, nil
 }
 
+// histograms are those of the whole run, in the order of times.
+func (r *Result) histograms() []**hdrhistogram.Histogram {
+	return []**hdrhistogram.Histogram{&r.Latency, &r.Service, &r.Retries, &r.Schedule, &r.Held, &r.Waited}
+}
+
+func (rep *Report) times() []*Times {
+	return []*Times{&rep.Latency, &rep.Service, &rep.Retries, &rep.Schedule, &rep.Held, &rep.Waited}
+}
+
+// Result is the Result that the report was made of, but for its Verdict, which
+// can be made again.
+func (rep *Report) Result() (*Result, error) {
+	r := newResult(nil)
+	to, from := r.histograms(), rep.times()
+	for i := range to {
+		var err error
+		if *to[i], err = from[i].Decode(); err != nil {
+			return nil, err
+		}
+	}
+	for i := range rep.Streams {
+		s := &rep.Streams[i]
+		h, err := s.Latency.Decode()
+		if err != nil {
+			return nil, fmt.Errorf("stream %s: %w", s.Name, err)
+		}
+		r.Streams = append(r.Streams, StreamResult{Name: s.Name, Latency: h, Outcomes: counted(s.Outcomes)})
+	}
+	for i := range rep.Seconds {
+		s := &rep.Seconds[i]
+		r.Seconds = append(r.Seconds, Second{Due: s.Due, Ended: s.Served, Outcomes: counted(s.Outcomes), Latency: s.Buckets})
+	}
+	r.Outcomes, r.First, r.Again = counted(rep.Outcomes), counted(rep.First), counted(rep.Again)
+	r.Span, r.CPU = seconds(rep.Span), seconds(rep.CPU)
+	r.Opened, r.Queued, r.Conns, r.Cores, r.Bytes, r.Floor = rep.Opened, rep.Queued, rep.Conns, rep.Cores, rep.Bytes, rep.Floor
+	r.Machine = machine{rep.Busy, rep.Machine}
+	if rep.Broken != "" {
+		r.Err = errors.New(rep.Broken)
+	}
+	return r, nil
+}
+
+func seconds(x float64) time.Duration { return time.Duration(math.Round(x * float64(time.Second))) }
+
+// counted is the inverse of named.
+func counted(m map[string]int64) (counts [Outcomes]int64) {
+	for o := range counts {
+		counts[o] = m[Outcome(o).String()]
+	}
+	return counts
+}
+
 // WriteJSON writes the report.
 func (rep *Report) WriteJSON(w io.Writer) error {
 	e := json.NewEncoder(w)
@@ -181,7 +220,7 @@
 	if rep.Schema != schema {
 		return nil, fmt.Errorf("report: schema %d, want %d", rep.Schema, schema)
 	}
-	for _, t := range []*Times{&rep.Latency, &rep.Service, &rep.Retries, &rep.Schedule} {
+	for _, t := range rep.times() {
 		h, err := t.Decode()
 		if err != nil {
 			return nil, fmt.Errorf("report: %w", err)
@@ -227,13 +266,25 @@
 	}
 	row("service", &rep.Service)
 	row("retries", &rep.Retries)
+	if rep.Queued > 0 {
+		row("waited", &rep.Waited)
+	}
 	row("own error", &rep.Schedule)
 	t.Flush()
 	fmt.Fprintf(&out, "%d connections opened, %d requests waited for one; %.2f s of processor time, %.0f%% of %d cores\n",
 		rep.Opened, rep.Queued, rep.CPU, 100*rep.CPU/max(rep.Span*float64(rep.Cores), 1e-9), rep.Cores)
-	for _, why := range rep.Bottleneck {
+	if f := rep.Floor; f != nil {
+		fmt.Fprintf(&out, "an echo in this process, at the begin: p50 %.3f, p90 %.3f, p99 %.3f, p99.9 %.3f ms\n", f.P50, f.P90, f.P99, f.P999)
+	}
+	for _, note := range rep.Verdict.Notes {
+		fmt.Fprintf(&out, "NOTE: %s\n", note)
+	}
+	for _, why := range rep.Verdict.Void {
 		fmt.Fprintf(&out, "WARNING: the generator was the bottleneck: %s\n", why)
 	}
+	if rep.Broken != "" {
+		fmt.Fprintf(&out, "WARNING: the plan broke off: %s\n", rep.Broken)
+	}
 	_, err := io.WriteString(w, out.String())
 	return err
 }
--- a/internal/load/report_test.go
+++ b/internal/load/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -12,31 +13,32 @@
 	rec := newRecorder([]string{"a"})
 	for i := range n {
 		due := time.Duration(i) * ms
-		rec.shards[0].first(late, d, OK)
-		rec.shards[0].end(0, due, due+d, OK)
+		rec.shards[0].first(d, OK)
+		rec.shards[0].end(0, due, due+d, OK, toll{own: late, held: late})
 	}
 	r := rec.result()
 	r.Span, r.Cores, r.CPU = time.Duration(n)*ms, 2, time.Millisecond
 	return r
 }
 
-// TestBottleneckIsOwnedUp: when the generator itself was late or had no
-// processor left the report says so, and only then.
+// TestBottleneckIsOwnedUp: when the generator's own error is a part of what it
+// reports at a percentile the report says so, and only then.
 func TestBottleneckIsOwnedUp(t *testing.T) {
 	for _, c := range []struct {
 		name    string
 		d, late time.Duration
-		cpu     float64 // of what there is
+		floor   *Floor
 		want    string
 	}{
-		{"in time", 10 * ms, 400 * time.Microsecond, 0.5, ""},
-		{"late", 10 * ms, 600 * time.Microsecond, 0.5, "more than 5% of the median latency, 10"},
-		{"late beside a slow target", time.Second, 10 * ms, 0.5, ""},
-		{"no processor left", 10 * ms, 0, 0.97, "processor time"},
+		{"in time", 10 * ms, 400 * time.Microsecond, nil, ""},
+		{"late", 10 * ms, 600 * time.Microsecond, nil, "p50: 0.600 of 10.0"},
+		{"late beside a slow target", time.Second, 10 * ms, nil, ""},
+		{"a quick target, within what the machine costs", 250 * time.Microsecond, 23 * time.Microsecond, &Floor{0.1, 0.1, 0.1, 0.1}, ""},
+		{"a quick target, and more than that", 250 * time.Microsecond, 123 * time.Microsecond, &Floor{0.1, 0.1, 0.1, 0.1}, "p50: 0.123 of 0.250"},
 	} {
 		r := made(1000, c.d, c.late)
-		r.CPU = time.Duration(c.cpu * 2 * float64(r.Span))
-		why := strings.Join(r.Bottleneck(), "; ")
+		r.Floor = c.floor
+		why := strings.Join(r.Verdict().Void, "; ")
 		if (why == "") != (c.want == "") || !strings.Contains(why, c.want) {
 			t.Errorf("%s: %q, want %q", c.name, why, c.want)
 		}
@@ -52,8 +54,37 @@
 			t.Errorf("%s:\n%s", c.name, text.String())
 		}
 	}
-	if why := newResult(nil).Bottleneck(); why != nil {
-		t.Errorf("a run of nothing: %q", why)
+	if v := newResult(nil).Verdict(); v.Void != nil || v.Notes != nil {
+		t.Errorf("a run of nothing: %+v", v)
+	}
+}
+
+// TestVerdictNamesTheCause: an exhausted processor, a late dispatcher and too
+// few connections are three sentences, and the last one is no fault.
+func TestVerdictNamesTheCause(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		change     func(r *Result)
+		void, note string
+	}{
+		{"exhausted", func(r *Result) { r.CPU = time.Duration(0.97 * 2 * float64(r.Span)) }, "the processor was exhausted: the generator used", ""},
+		{"exhausted by others", func(r *Result) { r.Machine = machine{3.9, 4} }, "the processor was exhausted: all processes", ""},
+		{"late", func(r *Result) {}, "the dispatcher was late", ""},
+		{"exhausted and in time", func(r *Result) { r.Held, r.CPU = newHist(), 2*r.Span }, "", "hardly any processor time"},
+		{"too few connections", func(r *Result) { r.Held, r.Waited, r.Queued, r.Conns = newHist(), r.Latency, 900, 7 }, "", "too few connections for this target, which is no fault of the generator: all 7 were in use, and 900 requests"},
+		{"a few late ones", func(r *Result) {
+			r.Held = newHist()
+			r.Held.RecordValues(1, 995)
+			r.Held.RecordValues(9000, 5)
+		}, "", "fewer than 10 requests lie beyond these percentiles, and the generator's own error is part of them: p99.9: 9"},
+	} {
+		r := made(1000, 10*ms, 5*ms)
+		c.change(r)
+		v := r.Verdict()
+		void, note := strings.Join(v.Void, "; "), strings.Join(v.Notes, "; ")
+		if (void == "") != (c.void == "") || !strings.HasPrefix(void, c.void) || (note == "") != (c.note == "") || !strings.HasPrefix(note, c.note) {
+			t.Errorf("%s: void %q, notes %q", c.name, void, note)
+		}
 	}
 }
 
@@ -77,6 +108,19 @@
 	if err != nil || !h.Equals(r.Latency) {
 		t.Errorf("the histogram has changed: %v", err)
 	}
+	// What workers hand to each other is the whole result.
+	res, err := again.Result()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, h := range res.histograms() {
+		if !(*h).Equals(*r.histograms()[i]) {
+			t.Errorf("histogram %d has changed", i)
+		}
+	}
+	if res.Outcomes != r.Outcomes || res.First != r.First || res.Span != r.Span || res.CPU != r.CPU || fmt.Sprint(res.Seconds) != fmt.Sprint(r.Seconds) || !res.Streams[0].Latency.Equals(r.Streams[0].Latency) {
+		t.Errorf("%+v", res)
+	}
 	if again.Requests != 2501 || again.Outcomes["ok"] != 2500 || again.Outcomes["unanswered"] != 1 || len(again.Seconds) != 3 || again.Seconds[0].Due != 1000 || again.Latency.P50 < 6.9 || again.Latency.P50 > 7.1 {
 		t.Errorf("%+v", again)
 	}
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -20,8 +20,10 @@
 )
 
 // Plan is the sequence of what is due; traffic.Plan and traffic.PlanPart are.
+// After its end Err tells whether it has broken off.
 type Plan interface {
 	Next() (traffic.Arrival, bool)
+	Err() error
 }
 
 // Config says what a run is.
@@ -73,6 +75,7 @@
 	opened atomic.Int64
 	bytes  atomic.Int64
 	queued int64
+	most   int // requests that may be open
 
 	due, ended atomic.Int64
 
@@ -84,6 +87,7 @@
 	ready   []job                // retries whose time has come
 	pending map[*job]*time.Timer // retries whose time will come
 	open    int                  // requests that have been begun and not ended
+	account *traffic.Account     // of the generator's own lateness
 	wake    chan struct{}        // something of these has changed, for the dispatcher
 }
 
@@ -96,6 +100,8 @@
 // request is what one try sends.
 type request struct {
 	stream *traffic.Stream
+	host   string
+	class  string
 	path   string
 	key    string
 	id     string
@@ -111,7 +117,7 @@
 	b = append(b, ' ')
 	b = append(b, r.path...)
 	b = append(b, " HTTP/1.1\r\nHost: "...)
-	b = append(b, r.stream.Host...)
+	b = append(b, r.host...)
 	b = append(b, "\r\nX-Call-Id: "...)
 	b = append(b, r.id...)
 	if r.budget > 0 {
@@ -122,9 +128,9 @@
 		b = append(b, "\r\nIdempotency-Key: "...)
 		b = append(b, r.key...)
 	}
-	if r.stream.Class != "" {
+	if r.class != "" {
 		b = append(b, "\r\nX-Class: "...)
-		b = append(b, r.stream.Class...)
+		b = append(b, r.class...)
 	}
 	for _, h := range r.stream.Headers {
 		b = append(b, "\r\n"...)
@@ -144,7 +150,11 @@
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
-	r := &Runner{cfg: cfg, inUse: map[*lane]net.Conn{}, pending: map[*job]*time.Timer{}, wake: make(chan struct{}, 1)}
+	most := cfg.Open
+	if most == 0 {
+		most = openFactor * cfg.Conns
+	}
+	r := &Runner{cfg: cfg, most: most, account: traffic.NewAccount(cfg.Conns, most), inUse: map[*lane]net.Conn{}, pending: map[*job]*time.Timer{}, wake: make(chan struct{}, 1)}
 	var names []string
 	for i := range cfg.Streams {
 		f, err := traffic.NewFiller(&cfg.Streams[i], cfg.Seed)
@@ -170,7 +180,7 @@
 		defer cancel()
 	}
 	r.start = time.Now()
-	began := processCPU()
+	began, machine := processCPU(), machineCPU()
 	var lanes, live sync.WaitGroup
 	liveCtx, stopLive := context.WithCancel(context.Background())
 	live.Go(func() { r.live(liveCtx) })
@@ -183,7 +193,7 @@
 		// The run was cut off: what was due by then has waited in vain.
 		r.due.Add(1)
 		r.queued++
-		r.end(rest.Stream, rest.Due, end, Unanswered)
+		r.giveUp(&job{ask: asked(rest), ready: rest.Due}, end, Unanswered)
 	}
 	stopLive()
 	live.Wait()
@@ -191,6 +201,9 @@
 	res.Span = end
 	res.Opened, res.Bytes, res.Queued = r.opened.Load(), r.bytes.Load(), r.queued
 	res.CPU, res.Cores = processCPU()-began, runtime.GOMAXPROCS(0)
+	res.Machine = machineCPU().since(machine)
+	res.Conns = r.cfg.Conns
+	res.Err = r.cfg.Plan.Err()
 	return res
 }
 
@@ -198,13 +211,6 @@
 // system's clock.
 func (r *Runner) now() time.Duration { return time.Since(r.start) }
 
-// processCPU is the processor time that this process has used.
-func processCPU() time.Duration {
-	var u syscall.Rusage
-	syscall.Getrusage(syscall.RUSAGE_SELF, &u)
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 // openFactor is how many requests may be begun for each connection: those that
 // wait between two tries hold none.
 const openFactor = 16
@@ -215,26 +221,23 @@
 // The plan itself is the queue: what finds no lane is not read before there is
 // one, so that a target that stalls costs no memory, however much is due.
 func (r *Runner) dispatch(ctx context.Context, lanes *sync.WaitGroup) (rest traffic.Arrival, more bool) {
-	most := r.cfg.Open
-	if most == 0 {
-		most = openFactor * r.cfg.Conns
-	}
 	var last time.Duration
 	a, more := r.cfg.Plan.Next()
 	for ctx.Err() == nil {
 		j, ok, open := r.popReady()
 		switch {
 		case ok:
-			if !r.hand(ctx, lanes, j) {
-				r.end(j.ask.stream, j.ask.due, r.now(), Unanswered)
-				r.begun(-1)
+			if !r.hand(ctx, lanes, &j) {
+				now := r.now()
+				r.giveUp(&j, now, Unanswered)
+				r.left(now)
 			}
-		case more && open >= most:
+		case more && open >= r.most:
 			r.wait(ctx, r.now()+time.Second)
 		case more && a.Due > r.now():
 			r.wait(ctx, a.Due)
 		case more:
-			if !r.hand(ctx, lanes, job{ask: ask{due: a.Due, stream: a.Stream, index: a.Index}, could: a.Due}) {
+			if !r.hand(ctx, lanes, &job{ask: asked(a), ready: a.Due}) {
 				return a, true
 			}
 			last = a.Due
@@ -250,31 +253,29 @@
 
 // hand gives j to a lane once one is free. It is false if ctx ends before. A
 // request whose caller's patience ends while it waits for a lane is not sent.
-func (r *Runner) hand(ctx context.Context, lanes *sync.WaitGroup, j job) bool {
+func (r *Runner) hand(ctx context.Context, lanes *sync.WaitGroup, j *job) bool {
 	budget := r.cfg.Streams[j.ask.stream].Budget
 	for waited := false; ; waited = true {
-		if now := r.now(); budget > 0 && now >= j.ask.due+budget {
+		now := r.now()
+		if budget > 0 && now >= j.ask.due+budget {
 			if !j.again {
 				r.due.Add(1)
 				r.queued++
-			} else {
-				r.begun(-1)
 			}
-			r.end(j.ask.stream, j.ask.due, now, TimedOut)
+			r.giveUp(j, now, TimedOut)
+			if j.again {
+				r.left(now)
+			}
 			return true
 		}
-		if l := r.lane(ctx, lanes); l != nil {
-			if waited {
-				j.could = max(j.could, r.now())
-			}
+		if l := r.lane(ctx, lanes, j, now); l != nil {
 			if !j.again {
 				if waited {
 					r.queued++
 				}
 				r.due.Add(1)
-				r.begun(1)
 			}
-			l.work <- j
+			l.work <- *j
 			return true
 		}
 		until := r.now() + time.Second
@@ -287,21 +288,26 @@
 	}
 }
 
-// lane returns a lane that is free, or nil.
-func (r *Runner) lane(ctx context.Context, lanes *sync.WaitGroup) *lane {
+// lane returns a lane that is free for j, or nil, and books that j is sent.
+func (r *Runner) lane(ctx context.Context, lanes *sync.WaitGroup, j *job, now time.Duration) *lane {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var l *lane
 	if n := len(r.idle); n > 0 {
-		l := r.idle[n-1]
+		l = r.idle[n-1]
 		r.idle = r.idle[:n-1]
-		return l
-	}
-	if r.lanes >= r.cfg.Conns {
+	} else if r.lanes < r.cfg.Conns {
+		l = &lane{r: r, shard: &r.rec.shards[r.lanes%shards], work: make(chan job, 1)}
+		r.lanes++
+		lanes.Go(func() { l.run(ctx) })
+	} else {
 		return nil
 	}
-	l := &lane{r: r, shard: &r.rec.shards[r.lanes%shards], work: make(chan job, 1)}
-	r.lanes++
-	lanes.Go(func() { l.run(ctx) })
+	j.sent = now
+	j.toll.add(r.account.Sent(j.ready, now, j.again))
+	if !j.again {
+		r.open++
+	}
 	return l
 }
 
@@ -365,23 +371,30 @@
 	return j, ok, r.open
 }
 
-// begun books that a request has been begun, or has ended.
-func (r *Runner) begun(n int) {
+// left books that a request which had been begun has ended.
+func (r *Runner) left(at time.Duration) {
 	r.mu.Lock()
-	r.open += n
+	r.open--
+	r.account.Ended(at)
 	r.mu.Unlock()
-	if n < 0 {
-		r.rouse()
-	}
+	r.rouse()
+}
+
+// giveUp books the end of a request that finds no lane any more.
+func (r *Runner) giveUp(j *job, at time.Duration, o Outcome) {
+	r.mu.Lock()
+	j.toll.add(r.account.GivenUp(j.ready, at, j.again))
+	r.mu.Unlock()
+	r.end(j, at, o)
 }
 
-// later has j made again after a wait.
-func (r *Runner) later(j job, wait time.Duration) {
+// later has j made again after a wait from a time on.
+func (r *Runner) later(j job, at, wait time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	j.again, j.could = true, r.now()+wait
+	j.again, j.ready = true, at+wait
 	if r.over {
-		r.end(j.ask.stream, j.ask.due, r.now(), Unanswered)
+		r.end(&j, at, Unanswered)
 		return
 	}
 	p := &j
@@ -396,9 +409,10 @@
 	})
 }
 
-// free takes a lane back.
-func (r *Runner) free(l *lane) {
+// free takes a lane back which has had its answer at a time.
+func (r *Runner) free(l *lane, at time.Duration) {
 	r.mu.Lock()
+	r.account.Free(at)
 	if r.over {
 		close(l.work)
 	} else {
@@ -422,10 +436,12 @@
 	}
 	for p, t := range r.pending {
 		t.Stop()
-		r.end(p.ask.stream, p.ask.due, end, Unanswered)
+		r.end(p, end, Unanswered)
 	}
-	for _, j := range r.ready {
-		r.end(j.ask.stream, j.ask.due, end, Unanswered)
+	for i := range r.ready {
+		j := &r.ready[i]
+		j.toll.add(r.account.GivenUp(j.ready, end, true))
+		r.end(j, end, Unanswered)
 	}
 	r.pending, r.ready = map[*job]*time.Timer{}, nil
 }
@@ -446,8 +462,8 @@
 }
 
 // end books the end of a request.
-func (r *Runner) end(stream int, due, at time.Duration, o Outcome) {
-	r.rec.shards[stream%shards].end(stream, due, at, o)
+func (r *Runner) end(j *job, at time.Duration, o Outcome) {
+	r.rec.shards[j.ask.stream%shards].end(j.ask.stream, j.ask.due, at, o, j.toll)
 	r.ended.Add(1)
 }
 
@@ -471,8 +487,8 @@
 	}
 }
 
-// body is n bytes; all requests share them.
-func (r *Runner) body(n int) []byte {
+// bodyOf is n bytes; all requests share them.
+func bodyOf(n int) []byte {
 	if n > len(bodyBytes) {
 		return make([]byte, n)
 	}
--- a/test.sh
+++ b/test.sh
@@ -10,6 +10,7 @@
 	exit 1
 fi
 go tool staticcheck ./...
+go mod tidy -diff
 
 # Pure modules decide; they do no I/O, read no clock and start nothing.
 for m in balance route traffic; do
@@ -35,7 +36,10 @@
 	case " $policy " in *" $f "*) ;; *) echo "$f is not listed under policy" >&2; exit 1 ;; esac
 done
 
-go test -count=1 ./...
+# Those that measure lateness run by themselves, so that no other test's load is
+# in their figures.
+go test -count=1 $(go list ./... | grep -v '/internal/load$')
+go test -count=1 ./internal/load
 
 mkdir -p bin && go build -o bin/ ./cmd/...
 for f in cmd/drill/testdata/*.in; do
--- a/traffic/plan.go
+++ b/traffic/plan.go
@@ -35,30 +35,70 @@
 	Due    time.Duration // since the begin
 	Stream int           // its place in the Plan's streams
 	Index  uint64        // its number in the stream, from 0
+	Ask    *Ask          // what it asks, where a record says so; nil for what the stream says
 }
 
+// Ask is what one recorded request asks. What is empty the stream says.
+type Ask struct {
+	Method string
+	Host   string
+	Path   string
+	Class  string
+	Body   int // bytes
+}
+
+// Source is the sequence of one stream's arrivals, in the order in which they
+// are due. Next is false after the last one and after an error, which Err tells.
+type Source interface {
+	Next() (due time.Duration, ask *Ask, ok bool)
+	Err() error
+}
+
+// NewSource returns the arrivals of a stream by its shape.
+func NewSource(s *Stream, seed uint64) Source {
+	return shapedSource{NewTimes(s.Shape, s.Pattern, seedOf(seed, s.Name))}
+}
+
+type shapedSource struct{ Times }
+
+func (s shapedSource) Next() (time.Duration, *Ask, bool) {
+	at, ok := s.Times.Next()
+	return at, nil, ok
+}
+
+func (s shapedSource) Err() error { return nil }
+
 // Plan is the sequence of all arrivals of some streams, in the order in which
 // they are due; those due at once come in the order of the streams. It reads
 // its sources as it goes, in constant memory.
 type Plan struct {
-	heads heads
-	begun bool
-	times []Times
+	heads   heads
+	begun   bool
+	sources []Source
 }
 
 // NewPlan returns the Plan of streams from a seed. A stream's arrivals do not
 // hang on which others there are.
 func NewPlan(streams []Stream, seed uint64) *Plan {
-	p := &Plan{}
+	var sources []Source
 	for i := range streams {
-		s := &streams[i]
-		p.times = append(p.times, NewTimes(s.Shape, s.Pattern, seedOf(seed, s.Name)))
+		sources = append(sources, NewSource(&streams[i], seed))
 	}
-	return p
+	return NewMerge(sources...)
 }
 
-// NewReplay returns the Plan of one sequence of times for each stream.
-func NewReplay(times ...Times) *Plan { return &Plan{times: times} }
+// NewMerge returns the Plan of one source for each stream.
+func NewMerge(sources ...Source) *Plan { return &Plan{sources: sources} }
+
+// Err is what has ended a source before its end, if anything has.
+func (p *Plan) Err() error {
+	for _, s := range p.sources {
+		if err := s.Err(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
 
 // seedOf is the seed of a stream.
 func seedOf(seed uint64, name string) uint64 {
@@ -72,9 +112,9 @@
 func (p *Plan) Next() (Arrival, bool) {
 	if !p.begun {
 		p.begun = true
-		for i, t := range p.times {
-			if at, ok := t.Next(); ok {
-				p.heads = append(p.heads, Arrival{Due: at, Stream: i})
+		for i, s := range p.sources {
+			if at, ask, ok := s.Next(); ok {
+				p.heads = append(p.heads, Arrival{Due: at, Stream: i, Ask: ask})
 			}
 		}
 		heap.Init(&p.heads)
@@ -83,8 +123,8 @@
 		return Arrival{}, false
 	}
 	a := p.heads[0]
-	if at, ok := p.times[a.Stream].Next(); ok {
-		p.heads[0] = Arrival{Due: max(at, a.Due), Stream: a.Stream, Index: a.Index + 1}
+	if at, ask, ok := p.sources[a.Stream].Next(); ok {
+		p.heads[0] = Arrival{Due: max(at, a.Due), Stream: a.Stream, Index: a.Index + 1, Ask: ask}
 		heap.Fix(&p.heads, 0)
 	} else {
 		heap.Pop(&p.heads)
@@ -127,6 +167,9 @@
 	return &PlanPart{plan: p, part: uint64(part), of: uint64(max(of, 1))}
 }
 
+// Err is that of the whole Plan.
+func (p *PlanPart) Err() error { return p.plan.Err() }
+
 // Next returns the next arrival of the part, and false after the last one.
 func (p *PlanPart) Next() (Arrival, bool) {
 	for {
