Runs by file, traces in a run, workers, an HTML page; a demo that redraws

Cause: the load generator took one stream by flags only, could read traces but not play them, and used one process; the demo's log lines fell into its table.

The demo and the live line draw over themselves on a terminal and write plain lines elsewhere; the demo's log goes to a file that it names at the end.

--- a/cmd/gorselink/commands_test.go
+++ b/cmd/gorselink/commands_test.go
@@ -40,10 +40,11 @@
 // The demo's curl lines work, its table has both services, and while one is
 // broken the other serves all.
 func TestDemoBreaksOneServiceAlone(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
 	var out screen
 	done := make(chan error, 1)
 	go func() {
-		done <- run(&shell{ctx: context.Background(), out: &out}, []string{"demo", "--for", "6s", "--rate", "20"}, "")
+		done <- run(&shell{ctx: context.Background(), out: &out, err: io.Discard}, []string{"demo", "--for", "6s", "--rate", "20"}, "")
 	}()
 	var lines []string
 	for end := time.Now().Add(patience); len(lines) < 2 && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
@@ -82,11 +83,11 @@
 	rows := 0
 	for line := range strings.Lines(out.String()) {
 		f := strings.Fields(line)
-		if len(f) != 8 || f[0] == "second" {
+		if len(f) != 9 || f[0] == "second" {
 			continue
 		}
 		rows++
-		for _, n := range f[4:6] { // refused and failed
+		for _, n := range f[5:7] { // refused and failed
 			k, err := strconv.Atoi(n)
 			if err != nil {
 				t.Errorf("row %q: %v", line, err)
@@ -170,7 +171,7 @@
 	check := func(text string) (string, error) {
 		put(t, path, text)
 		var out screen
-		err := run(&shell{ctx: context.Background(), out: &out}, []string{"check", path}, "")
+		err := run(&shell{ctx: context.Background(), out: &out, err: io.Discard}, []string{"check", path}, "")
 		return out.String(), err
 	}
 	const good = "[listeners.l]\naddress = \"127.0.0.1:1\"\n[pools.a]\nnodes_file = \"a.nodes\"\n[[routes]]\npool = \"a\"\n"
@@ -189,7 +190,7 @@
 
 func TestCommandLine(t *testing.T) {
 	var out screen
-	s := &shell{ctx: context.Background(), out: &out}
+	s := &shell{ctx: context.Background(), out: &out, err: io.Discard}
 	if err := run(s, []string{"version"}, "ignored"); err != nil || !strings.HasPrefix(out.String(), "gorselink ") {
 		t.Errorf("version: %q, %v", out.String(), err)
 	}
--- a/cmd/gorselink/demo.go
+++ b/cmd/gorselink/demo.go
@@ -4,8 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"log"
+	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -46,10 +49,12 @@
 	base   string
 
 	mu    sync.Mutex
-	count map[string]*demoCount
+	count map[string]*demoCount // of the present second
+	all   map[string]*demoCount // since the begin
+	mode  map[string]string     // of a service's nodes
 }
 
-// demoCount is what one service's requests came to in the present second.
+// demoCount is what one service's requests came to.
 type demoCount struct {
 	asked, served, refused, failed int
 	took                           []time.Duration
@@ -63,7 +68,12 @@
 	if c.Rate < 1 || c.Rate > demoMaxRate {
 		return fmt.Errorf("gorselink: demo: --rate %d, want 1 to %d", c.Rate, demoMaxRate)
 	}
-	d := &demo{out: s.out, nodes: map[string][]*standin.Node{}, count: map[string]*demoCount{}}
+	d := &demo{out: s.out, nodes: map[string][]*standin.Node{}, count: map[string]*demoCount{}, all: map[string]*demoCount{}, mode: map[string]string{}}
+	aside, err := logAside()
+	if err != nil {
+		return fmt.Errorf("gorselink: demo: %w", err)
+	}
+	defer aside.end(s.out)
 	defer d.close()
 	if err := d.start(c.Listen); err != nil {
 		return fmt.Errorf("gorselink: demo: %w", err)
@@ -79,14 +89,21 @@
 	defer cancel()
 	var asking sync.WaitGroup
 	for _, service := range demoServices {
-		d.count[service] = &demoCount{}
+		d.count[service], d.all[service], d.mode[service] = &demoCount{}, &demoCount{}, "serve"
+	}
+	for _, service := range demoServices {
 		asking.Go(func() { d.drive(ctx, service, c.Rate) })
 	}
 	if !c.Calm {
 		asking.Go(func() { d.breakDonate(ctx, c.For/3) })
 	}
-	d.show(ctx)
+	d.show(ctx, s.redraw)
 	asking.Wait()
+	fmt.Fprintln(d.out)
+	for _, service := range demoServices {
+		c := d.all[service]
+		fmt.Fprintf(d.out, "%s in all: %d asked, %d served, %d refused, %d failed\n", service, c.asked, c.served, c.refused, c.failed)
+	}
 	return nil
 }
 
@@ -166,6 +183,9 @@
 		}
 		n.Set(m)
 	}
+	d.mu.Lock()
+	d.mode[service] = mode
+	d.mu.Unlock()
 	return nil
 }
 
@@ -187,10 +207,9 @@
 		case <-time.After(after):
 		}
 		if err := d.set("donate", mode); err != nil {
-			fmt.Fprintln(d.out, err)
+			slog.Error("demo", "error", err)
 			return
 		}
-		fmt.Fprintf(d.out, "-- all nodes of donate: %s\n", mode)
 	}
 }
 
@@ -225,21 +244,24 @@
 	took := time.Since(begin)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c := d.count[service]
-	c.asked++
-	c.took = append(c.took, took)
-	switch status {
-	case http.StatusOK:
-		c.served++
-	case http.StatusServiceUnavailable:
-		c.refused++
-	default:
-		c.failed++
+	d.count[service].took = append(d.count[service].took, took)
+	for _, c := range []*demoCount{d.count[service], d.all[service]} {
+		c.asked++
+		switch status {
+		case http.StatusOK:
+			c.served++
+		case http.StatusServiceUnavailable:
+			c.refused++
+		default:
+			c.failed++
+		}
 	}
 }
 
-// show prints a row for each service a second until ctx ends.
-func (d *demo) show(ctx context.Context) {
+// show has a row for each service, of the last second, until ctx ends: drawn
+// over on a terminal, written anew elsewhere.
+func (d *demo) show(ctx context.Context, redraw bool) {
+	table := drawing{to: d.out, redraw: redraw}
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
 	for second := 1; ; second++ {
@@ -248,19 +270,54 @@
 			return
 		case <-tick.C:
 		}
-		w := tabwriter.NewWriter(d.out, 9, 0, 1, ' ', tabwriter.AlignRight)
-		if second%10 == 1 {
-			fmt.Fprintln(w, "second\tpool\tasked\tserved\trefused\tfailed\tp50\tp99\t")
+		var text strings.Builder
+		w := tabwriter.NewWriter(&text, 9, 0, 1, ' ', tabwriter.AlignRight)
+		if redraw || second%10 == 1 {
+			fmt.Fprintln(w, "second\tpool\tnodes\tasked\tserved\trefused\tfailed\tp50\tp99\t")
 		}
 		d.mu.Lock()
 		for _, service := range demoServices {
 			c := d.count[service]
-			fmt.Fprintf(w, "%d\t%s\t%d\t%d\t%d\t%d\t%s\t%s\t\n", second, service, c.asked, c.served, c.refused, c.failed, quantile(c.took, 0.5), quantile(c.took, 0.99))
+			fmt.Fprintf(w, "%d\t%s\t%s\t%d\t%d\t%d\t%d\t%s\t%s\t\n", second, service, d.mode[service], c.asked, c.served, c.refused, c.failed, quantile(c.took, 0.5), quantile(c.took, 0.99))
 			*c = demoCount{}
 		}
 		d.mu.Unlock()
 		w.Flush()
+		table.show(text.String())
+	}
+}
+
+// asideLog keeps the log of the process in a file for a while, out of the way
+// of what is shown.
+type asideLog struct {
+	file   *os.File
+	before *slog.Logger
+	out    io.Writer // of package log, on which the logger from before may rest
+	flags  int
+}
+
+func logAside() (*asideLog, error) {
+	f, err := os.CreateTemp("", "gorselink-demo-*.log")
+	if err != nil {
+		return nil, fmt.Errorf("a file for the log: %w", err)
+	}
+	l := &asideLog{f, slog.Default(), log.Writer(), log.Flags()}
+	slog.SetDefault(slog.New(slog.NewTextHandler(f, nil)))
+	return l, nil
+}
+
+// end names the file, or removes it where nothing was logged.
+func (l *asideLog) end(out io.Writer) {
+	slog.SetDefault(l.before)
+	log.SetOutput(l.out)
+	log.SetFlags(l.flags)
+	info, err := l.file.Stat()
+	l.file.Close()
+	if err == nil && info.Size() == 0 {
+		os.Remove(l.file.Name())
+		return
 	}
+	fmt.Fprintf(out, "the daemon's log: %s\n", l.file.Name())
 }
 
 // quantile is one of some times, or "-" where there are none.
--- a/cmd/gorselink/load_test.go
+++ b/cmd/gorselink/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -34,7 +35,7 @@
 	dir := t.TempDir()
 	json, hgrm := filepath.Join(dir, "a.json"), filepath.Join(dir, "a.hgrm")
 	var out screen
-	err = run(&shell{ctx: context.Background(), out: &out}, []string{"load", "--target", n.Addr(), "--shape", "hold 200 500ms", "--arrivals", "even",
+	err = run(&shell{ctx: context.Background(), out: &out, err: io.Discard}, []string{"load", "--target", n.Addr(), "--shape", "hold 200 500ms", "--arrivals", "even",
 		"--method", "POST", "--host", "donate.example.org", "--path", "/pledge/{n}", "--body", "10", "--keyed", "--class", "pay", "--header", "X-Tenant: acme",
 		"--json", json, "--hgrm", hgrm, "--quiet"}, "")
 	var c coded
@@ -75,7 +76,7 @@
 		"retries":     {"--target", "127.0.0.1:1", "--retries", "-1"},
 	} {
 		var out screen
-		if err := run(&shell{ctx: context.Background(), out: &out}, append([]string{"load"}, args...), ""); err == nil {
+		if err := run(&shell{ctx: context.Background(), out: &out, err: io.Discard}, append([]string{"load"}, args...), ""); err == nil {
 			t.Errorf("%s: no error", name)
 		}
 	}
@@ -88,9 +89,78 @@
 	put(t, broken, "{}")
 	for _, path := range []string{broken, filepath.Join(dir, "none.json")} {
 		var out screen
-		err := run(&shell{ctx: context.Background(), out: &out}, []string{"load", "compare", path, path}, "")
+		err := run(&shell{ctx: context.Background(), out: &out, err: io.Discard}, []string{"load", "compare", path, path}, "")
 		if err == nil || !strings.Contains(err.Error(), filepath.Base(path)) {
 			t.Errorf("%s: %v", path, err)
 		}
 	}
 }
+
+// A file takes the place of the flags that say what is asked, and only those
+// that do not go with it are turned away. A broken trace has its own exit code.
+func TestLoadCommandFile(t *testing.T) {
+	n, err := standin.StartNode(standin.NodeConfig{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Close)
+	dir := t.TempDir()
+	file, page, trace := filepath.Join(dir, "run.toml"), filepath.Join(dir, "a.html"), filepath.Join(dir, "t.csv")
+	put(t, file, "target = \"127.0.0.1:1\"\n[[streams]]\nshape = \"hold 100 300ms\"\narrivals = \"even\"\n")
+	put(t, trace, "due,path\n0,/a\n0.1,x\n0.2,/c\n")
+	call := func(args ...string) (string, int) {
+		var out, errs screen
+		err := run(&shell{ctx: context.Background(), out: &out, err: &errs}, append([]string{"load", "--quiet"}, args...), "")
+		var c coded
+		if errors.As(err, &c) {
+			return out.String() + errs.String(), c.code
+		}
+		if err != nil {
+			return err.Error(), 1
+		}
+		return out.String() + errs.String(), 0
+	}
+	for _, c := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"--file", file, "--target", n.Addr(), "--seed", "9", "--html", page}, 0, "requests: ok 30"},
+		{[]string{"--file", file, "--keys", "3"}, 1, "--keys and --file"},
+		{[]string{"--file", file + "x"}, 1, "no such file"},
+		{[]string{"--target", n.Addr(), "--speed", "3"}, 1, "--speed goes with --trace"},
+		{[]string{"--target", n.Addr(), "--trace", trace, "--path", "/x"}, 1, "--path and --trace"},
+		{[]string{"--target", n.Addr(), "--workers", "0"}, 1, "--workers 0"},
+		{[]string{"--target", n.Addr(), "--trace", trace}, exitBroken, "too many bad lines"},
+		{[]string{"--target", n.Addr(), "--trace", trace, "--bad-share", "0.5"}, 0, "t.csv: skipped: line 3"},
+	} {
+		text, code := call(c.args...)
+		if code == exitBottleneck { // on a busy machine it may have to own up
+			code = 0
+		}
+		if code != c.code || !strings.Contains(text, c.want) {
+			t.Errorf("%v: code %d, want %d and %q in\n%s", c.args, code, c.code, c.want, text)
+		}
+	}
+	if text, err := os.ReadFile(page); err != nil || !strings.Contains(string(text), "</html>") {
+		t.Errorf("%.100q, %v", text, err)
+	}
+}
+
+// On a terminal a drawing takes the place of the one before; elsewhere each is
+// written in plain lines.
+func TestDrawing(t *testing.T) {
+	var screen, pipe strings.Builder
+	for _, text := range []string{"a 1\nb 1\n", "a 2\nb 2\n"} {
+		(&drawing{to: &pipe}).show(text)
+	}
+	d := drawing{to: &screen, redraw: true}
+	d.show("a 1\nb 1\n")
+	d.show("a 2\nb 2\n")
+	if got := pipe.String(); got != "a 1\nb 1\na 2\nb 2\n" {
+		t.Errorf("piped: %q", got)
+	}
+	if got, want := screen.String(), "\ra 1\x1b[K\n\rb 1\x1b[K\n\x1b[2A\ra 2\x1b[K\n\rb 2\x1b[K\n"; got != want {
+		t.Errorf("on a terminal: %q, want %q", got, want)
+	}
+}
--- a/cmd/gorselink/main.go
+++ b/cmd/gorselink/main.go
@@ -30,6 +30,8 @@
 	ctx    context.Context // ends at SIGTERM or an interrupt
 	reload <-chan os.Signal
 	out    io.Writer
+	err    io.Writer
+	redraw bool // both are seen on a terminal, which can be drawn over
 }
 
 func main() {
@@ -38,7 +40,8 @@
 	// Taken from the first moment on: the default of SIGHUP is to end the process.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	if err := run(&shell{ctx, reload, os.Stdout}, os.Args[1:], os.Getenv("ROUTER_CONFIG")); err != nil {
+	s := &shell{ctx, reload, os.Stdout, os.Stderr, isTerminal(os.Stdout) && isTerminal(os.Stderr)}
+	if err := run(s, os.Args[1:], os.Getenv("ROUTER_CONFIG")); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		code := 1
 		var c coded
@@ -60,7 +63,7 @@
 	var c commands
 	parser, err := kong.New(&c, kong.Name("gorselink"),
 		kong.Description("A load balancer for services in tiers. With ROUTER_CONFIG set and no arguments it is the platform's sidecar."),
-		kong.Writers(s.out, os.Stderr), kong.UsageOnError())
+		kong.Writers(s.out, s.err), kong.UsageOnError())
 	if err != nil {
 		return err
 	}
--- a/internal/load/record.go
+++ b/internal/load/record.go
@@ -173,7 +173,9 @@
 	r.CPU += o.CPU
 	r.Cores = max(r.Cores, o.Cores)
 	r.Machine.merge(o.Machine)
-	r.Err = errors.Join(r.Err, o.Err)
+	if r.Err == nil || o.Err != nil && r.Err.Error() != o.Err.Error() { // workers read the same traces
+		r.Err = errors.Join(r.Err, o.Err)
+	}
 	r.Bytes += o.Bytes
 }
 
