--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -1,20 +1,18 @@
-// Package framing judges the head of an HTTP/1.1 message before net/http
-// reads it.
+// Package framing reads the heads of HTTP/1.1 messages, and takes none that
+// can be read in two ways.
 //
 // net/http mends what it reads: of Content-Length and Transfer-Encoding it
 // drops the first without a word, of equal lengths all but one. Where two
 // sides mend differently one message can stand inside the body of another
 // (request smuggling), so whatever leaves a doubt about where a message ends
-// is refused here, on both sides of the sidecar.
+// is refused here, on both sides: what is judged is what is sent on.
 package framing
 
 import (
 	"bufio"
 	"bytes"
 	"errors"
-	"fmt"
 	"io"
-	"strings"
 )
 
 // MaxHead is the size that a reader given to Peek should have: the longest
@@ -51,49 +49,6 @@
 	}
 }
 
-// Check tells what is wrong with the lines of a whole head, or nil.
-func Check(head []byte) error {
-	lines := strings.Split(strings.TrimSuffix(string(head), "\r\n\r\n"), "\r\n")
-	lengths, codings, hosts := 0, 0, 0
-	for i, line := range lines {
-		if strings.ContainsAny(line, "\r\n\x00") {
-			return errors.New("head: a line ends in a bare CR or LF, or holds NUL")
-		}
-		if i == 0 {
-			continue
-		}
-		name, value, ok := strings.Cut(line, ":")
-		if !ok || !token(name) {
-			return fmt.Errorf("head: line %d is no field", i+1)
-		}
-		value = strings.Trim(value, " \t")
-		switch strings.ToLower(name) {
-		case "content-length":
-			lengths++
-			if !digits(value) {
-				return fmt.Errorf("Content-Length %.40q, want a number", value)
-			}
-		case "host":
-			hosts++
-		case "transfer-encoding":
-			codings++
-			if !strings.EqualFold(value, "chunked") {
-				return fmt.Errorf("Transfer-Encoding %.40q, want chunked", value)
-			}
-		}
-	}
-	if lengths+codings > 1 {
-		return errors.New("the length is given more than once")
-	}
-	if hosts > 1 {
-		return errors.New("Host is given more than once") // RFC 9112, section 3.2
-	}
-	if codings > 0 && strings.HasSuffix(lines[0], "HTTP/1.0") {
-		return errors.New("Transfer-Encoding in HTTP/1.0") // section 6.1
-	}
-	return nil
-}
-
 func digits(s string) bool {
 	if s == "" || len(s) > maxDigits {
 		return false
@@ -112,13 +67,18 @@
 	if s == "" {
 		return false
 	}
-	for _, c := range []byte(s) {
-		switch {
-		case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
-		case strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0:
-		default:
+	for i := range len(s) {
+		if !tokens[s[i]] {
 			return false
 		}
 	}
 	return true
 }
+
+// tokens are the bytes of a token (RFC 9110, section 5.6.2).
+var tokens = func() (t [256]bool) {
+	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
+		t[c] = true
+	}
+	return t
+}()
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -8,7 +8,7 @@
 	"testing"
 )
 
-func TestCheck(t *testing.T) {
+func TestParseRequestFraming(t *testing.T) {
 	for _, c := range []struct {
 		name, fields string
 		ok           bool
@@ -35,7 +35,7 @@
 		{"bare LF", "X-A: b\nContent-Length: 4", false},
 		{"bare CR", "X-A: b\rContent-Length: 4", false},
 	} {
-		err := Check([]byte("POST /x HTTP/1.1\r\n" + c.fields + "\r\n\r\n"))
+		_, err := ParseRequest([]byte("POST /x HTTP/1.1\r\n" + c.fields + "\r\n\r\n"))
 		if (err == nil) != c.ok {
 			t.Errorf("%s: %v, want ok %t", c.name, err, c.ok)
 		}
--- /dev/null
+++ b/internal/framing/head_test.go
@@ -0,0 +1,212 @@
+package framing
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// linesOf are fields as net/http sorts them, name and value.
+func linesOf(fs Fields) (all []string) {
+	for _, f := range fs {
+		all = append(all, textproto.CanonicalMIMEHeaderKey(f.Name)+": "+f.Value)
+	}
+	slices.Sort(all)
+	return all
+}
+
+func linesOfHeader(h http.Header) (all []string) {
+	for name, values := range h {
+		for _, v := range values {
+			all = append(all, name+": "+v)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// same tells how net/http's reading of a head differs from ours, "" if it does
+// not. What frames the body it keeps apart from the header.
+func same(h *Head, header http.Header, length int64, codings []string) string {
+	ours := slices.DeleteFunc(slices.Clone(h.Fields), func(f Field) bool {
+		return strings.EqualFold(f.Name, "Transfer-Encoding") || strings.EqualFold(f.Name, "Trailer")
+	})
+	header = header.Clone()
+	header.Del("Trailer")
+	if strings.EqualFold(h.Fields.Get("Pragma"), "no-cache") {
+		return "" // net/http adds a Cache-Control to it
+	}
+	if a, b := linesOf(ours), linesOfHeader(header); !slices.Equal(a, b) {
+		return fmt.Sprintf("fields %q, net/http has %q", a, b)
+	}
+	if h.Chunked != (len(codings) > 0) || !h.Chunked && h.Length != length {
+		return fmt.Sprintf("length %d, chunked %t; net/http has %d, %q", h.Length, h.Chunked, length, codings)
+	}
+	return ""
+}
+
+// FuzzParseRequest: whatever we take net/http takes, and reads the same in it;
+// and what is sent on reads the same once more.
+func FuzzParseRequest(f *testing.F) {
+	for _, s := range []string{
+		"GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+		"POST /a?b#c HTTP/1.0\r\nhost: a:80\r\nContent-Length: 3\r\n\r\nabc",
+		"PUT http://h/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTrailer: X\r\n\r\n1\r\na\r\n0\r\nX: y\r\n\r\n",
+		"OPTIONS * HTTP/1.1\r\nHost: a\r\nConnection: close, X-A\r\nX-A: 1\r\nx-a: 2\r\n\r\n",
+		"GET /%zz HTTP/1.1\r\nHost: a\r\nA:\t b \t\r\nB:\r\n\r\n",
+		"GET /\xff HTTP/1.9\r\nHost: [::1]:80\r\nC: \xe9\r\n\r\n",
+		"CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n", "PRI * HTTP/2.0\r\n\r\n", "GET / HTTP/1.1\r\n\r\n",
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		raw, err := Peek(bufio.NewReaderSize(bytes.NewReader(text), MaxHead))
+		if err != nil {
+			return
+		}
+		h, err := ParseRequest(raw)
+		if err != nil {
+			return
+		}
+		path, err := h.Path()
+		if err != nil || h.Method == http.MethodConnect { // neither is passed on
+			return
+		}
+		req, err := http.ReadRequest(bufio.NewReaderSize(bytes.NewReader(raw), MaxHead))
+		if err != nil {
+			t.Fatalf("%q was taken, and net/http says: %v", raw, err)
+		}
+		if h.Method != req.Method || h.Target != req.RequestURI || path != req.URL.Path || h.Close != req.Close {
+			t.Fatalf("%q: %s %q %q close %t, net/http has %s %q %q close %t", raw, h.Method, h.Target, path, h.Close, req.Method, req.RequestURI, req.URL.Path, req.Close)
+		}
+		if req.URL.Host == "" && h.Host != req.Host {
+			t.Fatalf("%q: host %q, net/http has %q", raw, h.Host, req.Host)
+		}
+		if why := same(h, req.Header, req.ContentLength, req.TransferEncoding); why != "" {
+			t.Fatalf("%q: %s", raw, why)
+		}
+		on := h.Fields.Append([]byte(h.Method + " " + h.Target + " HTTP/1.1\r\nHost: " + h.Host + "\r\n"))
+		again, err := ParseRequest(append(on, "\r\n"...))
+		if err != nil {
+			t.Fatalf("%q was sent on as %q: %v", raw, on, err)
+		}
+		kept := slices.DeleteFunc(slices.Clone(h.Fields), func(f Field) bool { return f.Hop })
+		if again.Target != h.Target || again.Host != h.Host || again.Length != 0 || again.Chunked || !slices.Equal(linesOf(kept), linesOf(again.Fields)) {
+			t.Fatalf("%q was sent on as %q", raw, on)
+		}
+	})
+}
+
+// FuzzParseResponse: the same of answers.
+func FuzzParseResponse(f *testing.F) {
+	for _, s := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", "HTTP/1.0 200 OK\r\n\r\nabc", "HTTP/1.1 204\r\nX: y\r\n\r\n",
+		"HTTP/1.1 500 \r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 099 x\r\n\r\n", "HTTP/1.1  200 OK\r\n\r\n",
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		raw, err := Peek(bufio.NewReaderSize(bytes.NewReader(text), MaxHead))
+		if err != nil {
+			return
+		}
+		h, err := ParseResponse(raw)
+		if err != nil || h.Status < 200 || h.Status == 204 || h.Status == 304 {
+			return // without a body, and without a length as net/http has it
+		}
+		resp, err := http.ReadResponse(bufio.NewReaderSize(bytes.NewReader(raw), MaxHead), nil)
+		if err != nil {
+			t.Fatalf("%q was taken, and net/http says: %v", raw, err)
+		}
+		if h.Status != resp.StatusCode {
+			t.Fatalf("%q: status %d, net/http has %d", raw, h.Status, resp.StatusCode)
+		}
+		if h.Close && !resp.Close {
+			t.Fatalf("%q: closes, net/http keeps it", raw)
+		}
+		if why := same(h, resp.Header, resp.ContentLength, resp.TransferEncoding); why != "" {
+			t.Fatalf("%q: %s", raw, why)
+		}
+	})
+}
+
+// Fields that concern one connection, or that are written anew, do not go on;
+// those that Connection names are such.
+func TestHopByHop(t *testing.T) {
+	h, err := ParseRequest([]byte("GET / HTTP/1.1\r\nHost: a\r\nX-A: 1\r\nconnection: close, x-b ,X-C\r\nX-B: 2\r\nx-c: 3\r\nKeep-Alive: 5\r\nTE: trailers\r\nUpgrade: h2c\r\nExpect: 100-continue\r\nContent-Length: 0\r\nx-a: 4\r\n\r\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := string(h.Fields.Append(nil)); got != "X-A: 1\r\nx-a: 4\r\n" {
+		t.Errorf("goes on: %q", got)
+	}
+	if v, n := h.Fields.Find("X-a"); v != "1" || n != 2 || !h.Close || !h.Told {
+		t.Errorf("%q, %d of them; %+v", v, n, h)
+	}
+}
+
+func TestParseRefuses(t *testing.T) {
+	for _, s := range []string{
+		"GET /\r\n\r\n", "GET / HTTP/2.0\r\n\r\n", "GET / HTTP/1.11\r\n\r\n", "G(T / HTTP/1.1\r\n\r\n", " / HTTP/1.1\r\n\r\n", "GET  / HTTP/1.1\r\n\r\n",
+		"GET /a b HTTP/1.1\r\n\r\n", "GET /\x01 HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nHost: a b\r\n\r\n", "GET / HTTP/1.1\r\nHost: a/b\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\nhost: a\r\n\r\n", "GET / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", "GET / HTTP/1.1\r\nX: \x00\r\n\r\n", "GET / HTTP/1.1\r\nX: a\rb\r\n\r\n",
+	} {
+		if h, err := ParseRequest([]byte(s)); err == nil {
+			t.Errorf("%q was taken: %+v", s, h)
+		}
+	}
+	for _, s := range []string{"HTTP/1.1\r\n\r\n", "HTTP/1.1 20 OK\r\n\r\n", "HTTP/1.1 2000 OK\r\n\r\n", "HTTP/2 200 OK\r\n\r\n", "HTTP/1.1 200 O\x00K\r\n\r\n", "HTTP/1.1 +20 OK\r\n\r\n", "\x00noise\r\n\r\n"} {
+		if h, err := ParseResponse([]byte(s)); err == nil {
+			t.Errorf("%q was taken: %+v", s, h)
+		}
+	}
+}
+
+func TestSkipTrailers(t *testing.T) {
+	for _, c := range []struct {
+		text string
+		ok   bool
+	}{
+		{"\r\nrest", true}, {"A: b\r\nC: d\r\n\r\nrest", true}, {"\nrest", false}, {"no field\r\n\r\nrest", false}, {"A: b\r\n", false}, {"", false},
+		{strings.Repeat("A: "+strings.Repeat("b", 1000)+"\r\n", 20) + "\r\nrest", false},
+	} {
+		br := bufio.NewReaderSize(strings.NewReader(c.text), MaxHead)
+		err := SkipTrailers(br)
+		rest, _ := io.ReadAll(br)
+		if (err == nil) != c.ok || c.ok && string(rest) != "rest" {
+			t.Errorf("%.40q: %v, left is %.20q", c.text, err, rest)
+		}
+	}
+}
+
+const benchHead = "GET /receipt/12345 HTTP/1.1\r\nHost: receipts.example.org\r\nUser-Agent: curl/8.5.0\r\nAccept: */*\r\nAccept-Encoding: gzip, deflate, br\r\nX-Call-Id: 0123456789abcdef\r\nX-Budget-Ms: 1500\r\nCookie: session=0123456789abcdef0123456789abcdef\r\n\r\n"
+
+// BenchmarkParseRequest beside net/http's reading of the same head.
+func BenchmarkParseRequest(b *testing.B) {
+	b.Run("framing", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := ParseRequest([]byte(benchHead)); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("net/http", func(b *testing.B) {
+		b.ReportAllocs()
+		r := strings.NewReader(benchHead)
+		br := bufio.NewReader(r)
+		for b.Loop() {
+			r.Reset(benchHead)
+			br.Reset(r)
+			if _, err := http.ReadRequest(br); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/front/http/answer.go
+++ b/internal/front/http/answer.go
@@ -1,13 +1,12 @@
 package httpfront
 
 import (
-	"fmt"
 	"io"
 	"math"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
+	"sync"
 	"time"
 
 	"gorselink/internal/pool"
@@ -17,7 +16,7 @@
 // answer is what a caller is given.
 type answer struct {
 	status     int
-	up         *upstream.Answer // a node's, passed on
+	up         *upstream.Answer // a node's, passed on; without text
 	text       string           // what was wrong, for who reads logs on the other side
 	retryAfter time.Duration    // 0 for none
 	whole      bool             // Retry-After in whole seconds
@@ -45,41 +44,68 @@
 // write writes the answer to a request with this method in one piece; keep
 // tells that the connection goes on.
 func (a answer) write(w io.Writer, method string, keep bool) error {
-	body := []byte(a.text)
-	var head strings.Builder
-	fmt.Fprintf(&head, "HTTP/1.1 %d %s\r\n", a.status, http.StatusText(a.status))
-	length := len(body)
+	buf := heads.Get().(*[]byte)
+	defer heads.Put(buf)
+	head := append((*buf)[:0], "HTTP/1.1 "...)
+	head = strconv.AppendInt(head, int64(a.status), 10)
+	head = append(head, ' ')
+	head = append(head, http.StatusText(a.status)...)
+	head = append(head, "\r\n"...)
+	var body []byte
+	length := len(a.text)
 	if a.up != nil {
 		body = a.up.Body
 		length = len(body)
 		if method == http.MethodHead || a.status == http.StatusNotModified {
 			// Its length is that of the body that a GET would bring.
-			if n, err := strconv.Atoi(a.up.Header.Get("Content-Length")); err == nil {
+			if n, err := strconv.Atoi(a.up.Fields.Get("Content-Length")); err == nil {
 				length = n
 			}
 		}
-		endToEnd(a.up.Header).Write(&head)
+		head = a.up.Fields.Append(head)
 	} else if a.text != "" {
-		head.WriteString("Content-Type: text/plain; charset=utf-8\r\n")
-	}
-	if method == http.MethodHead {
-		body = nil
+		head = append(head, "Content-Type: text/plain; charset=utf-8\r\n"...)
 	}
 	if a.retryAfter > 0 {
-		seconds := strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64)
+		head = append(head, "Retry-After: "...)
 		if a.whole {
-			seconds = strconv.Itoa(int(math.Ceil(a.retryAfter.Seconds())))
+			head = strconv.AppendInt(head, int64(math.Ceil(a.retryAfter.Seconds())), 10)
+		} else {
+			head = strconv.AppendFloat(head, a.retryAfter.Seconds(), 'f', 3, 64)
 		}
-		head.WriteString("Retry-After: " + seconds + "\r\n")
+		head = append(head, "\r\n"...)
 	}
 	if !keep {
-		head.WriteString("Connection: close\r\n")
+		head = append(head, "Connection: close\r\n"...)
 	}
 	if a.status != http.StatusNoContent { // which has no length, RFC 9110, section 8.6
-		head.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
+		head = append(head, "Content-Length: "...)
+		head = strconv.AppendInt(head, int64(length), 10)
+		head = append(head, "\r\n"...)
+	}
+	head = append(head, "\r\n"...)
+	if method != http.MethodHead {
+		head = append(head, a.text...)
+		if len(body) <= shortBody {
+			head = append(head, body...)
+			body = nil
+		}
+	} else {
+		body = nil
+	}
+	*buf = head
+	if len(body) == 0 {
+		_, err := w.Write(head)
+		return err
 	}
-	head.WriteString("\r\n")
-	all := net.Buffers{[]byte(head.String()), body}
+	all := net.Buffers{head, body}
 	_, err := all.WriteTo(w)
 	return err
 }
+
+// shortBody is up to where copying a body behind its head is cheaper than
+// writing the two as they are.
+const shortBody = 4 << 10
+
+// heads holds buffers for answers that are being written.
+var heads = sync.Pool{New: func() any { b := make([]byte, 0, 2<<10); return &b }}
--- a/internal/front/http/body.go
+++ b/internal/front/http/body.go
@@ -1,11 +1,13 @@
 package httpfront
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
+	"net/http/httputil"
 
+	"gorselink/internal/framing"
 	"gorselink/internal/limit"
 )
 
@@ -30,12 +32,12 @@
 	b.room.Release()
 }
 
-// readBody reads the body of req to its end. One that is longer than most, or
+// readBody reads the body that the head h tells of to its end. One that is longer than most, or
 // finds no room in the budget, is not read. One that could never find room is
 // too long.
-func readBody(req *http.Request, budget *limit.Bytes, most int64) (*body, error) {
+func readBody(in *bufio.Reader, h *framing.Head, budget *limit.Bytes, most int64) (*body, error) {
 	most = min(most, budget.Total())
-	b, n := &body{}, req.ContentLength
+	b, n := &body{}, h.Length
 	switch {
 	case n == 0:
 		return b, nil
@@ -49,13 +51,15 @@
 		return nil, errBodyRoom
 	}
 	var err error
-	if req.ContentLength > 0 {
+	if h.Length > 0 {
 		b.data = make([]byte, n)
-		if _, err = io.ReadFull(req.Body, b.data); err != nil {
+		if _, err = io.ReadFull(in, b.data); err != nil {
 			err = fmt.Errorf("body: %w", err)
 		}
 	} else {
-		err = b.readChunks(req.Body, n, most)
+		if err = b.readChunks(httputil.NewChunkedReader(in), n, most); err == nil {
+			err = framing.SkipTrailers(in)
+		}
 	}
 	if err != nil {
 		b.release()
--- a/internal/front/http/caller.go
+++ b/internal/front/http/caller.go
@@ -173,18 +173,20 @@
 		}
 		return false, false
 	}
-	if err := framing.Check(head); err != nil {
+	h, err := framing.ParseRequest(head)
+	if err != nil {
 		c.reject(http.StatusBadRequest, err)
 		return false, false
 	}
-	req, err := http.ReadRequest(c.in)
+	c.in.Discard(len(head))
+	path, err := h.Path()
 	if err != nil {
 		c.reject(http.StatusBadRequest, err)
 		return false, false
 	}
 	j := c.callers.judge
-	req.RemoteAddr = c.remote
-	if req.URL.Path == readyPath && req.ContentLength == 0 {
+	req := &Request{Head: h, Remote: c.remote}
+	if path == readyPath && req.Length == 0 {
 		return false, c.give(req, answer{status: j.Ready()}, true)
 	}
 	p, wrong := j.Judge(req)
@@ -199,7 +201,7 @@
 		c.reject(http.StatusExpectationFailed, err)
 		return false, false
 	}
-	body, err := readBody(req, p.Pool.Bodies(), p.MaxBody)
+	body, err := readBody(c.in, h, p.Pool.Bodies(), p.MaxBody)
 	switch {
 	case errors.Is(err, errBodyLong):
 		c.reject(http.StatusRequestEntityTooLarge, err)
@@ -227,9 +229,9 @@
 
 // full answers a request to a pool that has no room for it, at once: whoever
 // waited here would hold a connection that another pool's callers may need.
-func (c *caller) full(req *http.Request, p *Plan) (goesOn bool) {
+func (c *caller) full(req *Request, p *Plan) (goesOn bool) {
 	a := answer{status: http.StatusServiceUnavailable, text: pool.ErrFull.Error(), retryAfter: p.Pool.RetryAfter(), whole: p.Ordinary}
-	if req.ContentLength != 0 {
+	if req.Length != 0 {
 		c.rejectWith(a)
 		return false
 	}
@@ -237,15 +239,15 @@
 }
 
 // expected answers an Expect field.
-func (c *caller) expected(req *http.Request, maxBody int64) error {
-	want := req.Header.Get("Expect")
+func (c *caller) expected(req *Request, maxBody int64) error {
+	want := req.Fields.Get("Expect")
 	if want == "" {
 		return nil
 	}
 	if !strings.EqualFold(want, "100-continue") {
 		return errors.New("Expect: want 100-continue or nothing")
 	}
-	if req.ContentLength == 0 || req.ContentLength > maxBody {
+	if req.Length == 0 || req.Length > maxBody {
 		return nil
 	}
 	c.conn.SetWriteDeadline(time.Now().Add(unread))
@@ -254,7 +256,7 @@
 }
 
 // carry hands a whole request to its pool and gives the answer.
-func (c *caller) carry(req *http.Request, p *Plan, b *body) (served, goesOn bool) {
+func (c *caller) carry(req *Request, p *Plan, b *body) (served, goesOn bool) {
 	if ok, _ := c.move(taken, time.Time{}); !ok {
 		b.release()
 		return false, false
@@ -323,8 +325,8 @@
 
 // turnAway answers a request that cannot be used. If nothing else comes with
 // it the connection goes on.
-func (c *caller) turnAway(req *http.Request, status int, why error) (goesOn bool) {
-	if req.ContentLength != 0 || c.in.Buffered() > 0 || req.Close {
+func (c *caller) turnAway(req *Request, status int, why error) (goesOn bool) {
+	if req.Length != 0 || c.in.Buffered() > 0 || req.Close {
 		c.reject(status, why)
 		return false
 	}
@@ -387,8 +389,8 @@
 var scratch = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
 
 // give writes an answer and tells whether another request may follow.
-func (c *caller) give(req *http.Request, a answer, goesOn bool) bool {
-	goesOn = goesOn && !req.Close && req.ProtoAtLeast(1, 1) && c.in.Buffered() == 0 && !c.closing()
+func (c *caller) give(req *Request, a answer, goesOn bool) bool {
+	goesOn = goesOn && !req.Close && req.Minor > 0 && c.in.Buffered() == 0 && !c.closing()
 	c.conn.SetWriteDeadline(time.Now().Add(unread))
 	return a.write(c.conn, req.Method, goesOn) == nil && goesOn
 }
--- a/internal/front/http/judge.go
+++ b/internal/front/http/judge.go
@@ -1,9 +1,9 @@
 package httpfront
 
 import (
-	"net/http"
 	"time"
 
+	"gorselink/internal/framing"
 	"gorselink/internal/pool"
 	"gorselink/internal/upstream"
 )
@@ -12,11 +12,17 @@
 type Judge interface {
 	// Judge reads the head of a request. The Plan is nil if there is none, and
 	// the Rejection is nil if there is one. Neither has reached a pool.
-	Judge(req *http.Request) (*Plan, *Rejection)
+	Judge(req *Request) (*Plan, *Rejection)
 	// Ready is the status that tells whether callers may be sent here.
 	Ready() int
 }
 
+// Request is the head of a request, and whose it is.
+type Request struct {
+	*framing.Head
+	Remote string // the caller's address, if that is told on
+}
+
 // Plan is how a request is to be served.
 type Plan struct {
 	Pool    *pool.Pool
--- a/internal/front/http/platform.go
+++ b/internal/front/http/platform.go
@@ -1,6 +1,7 @@
 package httpfront
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/http"
@@ -10,6 +11,7 @@
 	"time"
 
 	"gorselink/balance"
+	"gorselink/internal/framing"
 	"gorselink/internal/pool"
 	"gorselink/internal/upstream"
 )
@@ -61,15 +63,20 @@
 }
 
 // Judge implements Judge.
-func (j *Platform) Judge(req *http.Request) (*Plan, *Rejection) {
-	if req.ProtoMajor != 1 || req.Host == "" {
-		return reject(http.StatusBadRequest, errors.New("want HTTP/1.1 and a Host"))
+func (j *Platform) Judge(req *Request) (*Plan, *Rejection) {
+	uri, host, err := target(req)
+	if err != nil || host == "" {
+		return reject(http.StatusBadRequest, cmp.Or(err, errors.New("want a Host")))
 	}
-	name, _, _ := strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/")
+	path, err := req.Path()
+	if err != nil {
+		return reject(http.StatusBadRequest, err)
+	}
+	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	class, ok := j.Classes[name]
 	// With two slashes the first part would be read as a host, and the path
 	// sent on would not be the one that was judged.
-	if !ok || strings.HasPrefix(req.RequestURI, "//") {
+	if !ok || strings.HasPrefix(req.Target, "//") {
 		return reject(http.StatusNotFound, fmt.Errorf("no class %q", name))
 	}
 	c := &j.Form[class]
@@ -77,15 +84,15 @@
 	if err := p.form(req, c); err != nil {
 		return reject(http.StatusBadRequest, err)
 	}
-	if i, ok := j.Tenants[req.Header.Get("X-Caller")]; ok {
+	if i, ok := j.Tenants[req.Fields.Get("X-Caller")]; ok {
 		p.Tenant = i
 	}
-	p.Out = outgoing(req, requestURI(req), req.Host, c.Semantics)
+	p.Out = outgoing(req, uri, host, c.Semantics, 0)
 	return p, nil
 }
 
 // form reads what the platform's form asks of a request of class c.
-func (p *Plan) form(req *http.Request, c *balance.Class) (err error) {
+func (p *Plan) form(req *Request, c *balance.Class) (err error) {
 	if err := checkMethod(c.Semantics, req); err != nil {
 		return err
 	}
@@ -97,28 +104,31 @@
 }
 
 // budget is the time that the client gives, and most at the most.
-func budget(req *http.Request, most time.Duration) (time.Duration, error) {
-	if texts, ok := req.Header["X-Budget-Ms"]; ok {
-		ms, err := strconv.ParseUint(texts[0], 10, 32)
-		if err != nil || ms == 0 || len(texts) > 1 {
-			return 0, fmt.Errorf("X-Budget-Ms %.40q, want whole milliseconds above 0", texts)
+func budget(req *Request, most time.Duration) (time.Duration, error) {
+	if text, n := req.Fields.Find("X-Budget-Ms"); n > 0 {
+		ms, err := strconv.ParseUint(text, 10, 32)
+		if err != nil || ms == 0 || n > 1 {
+			return 0, fmt.Errorf("X-Budget-Ms %.40q, %d of them, want whole milliseconds above 0, once", text, n)
 		}
 		most = min(most, time.Duration(ms)*time.Millisecond)
 	}
 	return max(0, most-transit), nil
 }
 
-// outgoing is what is sent on of a request, but for the body.
-func outgoing(req *http.Request, uri, host string, semantics balance.Semantics) upstream.Request {
+// outgoing is what is sent on of a request, but for the body. Its fields have
+// room for so many more.
+func outgoing(req *Request, uri, host string, semantics balance.Semantics, more int) upstream.Request {
 	out := upstream.Request{
 		Method: req.Method,
 		URI:    uri,
 		Host:   host,
-		Header: endToEnd(req.Header),
+		Fields: make(framing.Fields, 0, len(req.Fields)+more),
 		Once:   semantics == balance.Unsafe,
 	}
-	if _, ok := out.Header["User-Agent"]; !ok {
-		out.Header["User-Agent"] = nil // keeps the codec from adding its own
+	for _, f := range req.Fields {
+		if !f.Hop && !strings.EqualFold(f.Name, "X-Budget-Ms") { // each attempt has its own
+			out.Fields = append(out.Fields, f)
+		}
 	}
 	return out
 }
@@ -129,37 +139,38 @@
 
 // callID reads the id of a request. One without an id, or with several, cannot
 // be told from another, and no endpoint may see it.
-func callID(req *http.Request) (string, error) {
-	ids := req.Header["X-Call-Id"]
-	if len(ids) != 1 || ids[0] == "" || len(ids[0]) > maxCallID {
-		return "", fmt.Errorf("X-Call-Id %.80q, want one id", ids)
+func callID(req *Request) (string, error) {
+	id, n := req.Fields.Find("X-Call-Id")
+	if n != 1 || id == "" || len(id) > maxCallID {
+		return "", fmt.Errorf("X-Call-Id %.80q, %d of them, want one id", id, n)
 	}
-	for _, c := range []byte(ids[0]) {
+	for _, c := range []byte(id) {
 		switch {
 		case c >= '0' && c <= '9', c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c == '-', c == '_':
 		default:
-			return "", fmt.Errorf("X-Call-Id %.80q, want letters and digits", ids[0])
+			return "", fmt.Errorf("X-Call-Id %.80q, want letters and digits", id)
 		}
 	}
-	return ids[0], nil
+	return id, nil
 }
 
 // checkMethod tells whether a request comes in the form of its class. One that
 // does not may not mean what the settings say of repeating it.
-func checkMethod(semantics balance.Semantics, req *http.Request) error {
+func checkMethod(semantics balance.Semantics, req *Request) error {
 	method, key := http.MethodPost, semantics == balance.Keyed
 	if semantics == balance.Safe {
 		method = http.MethodGet
 	}
-	_, hasKey := req.Header["Idempotency-Key"]
+	idem, keys := req.Fields.Find("Idempotency-Key")
+	hasKey := keys > 0
 	if req.Method != method {
 		return fmt.Errorf("method %s, want %s for this class", req.Method, method)
 	}
-	if semantics == balance.Safe && req.ContentLength != 0 {
+	if semantics == balance.Safe && req.Length != 0 {
 		return errors.New("a body, want none for this class")
 	}
-	if keys := req.Header["Idempotency-Key"]; len(keys) > 1 || len(keys) == 1 && keys[0] == "" {
-		return fmt.Errorf("Idempotency-Key %.80q, want one", keys)
+	if keys > 1 || keys == 1 && idem == "" {
+		return fmt.Errorf("Idempotency-Key %.80q, %d of them, want one", idem, keys)
 	}
 	if semantics != balance.Safe && hasKey != key {
 		return fmt.Errorf("Idempotency-Key: given is %t, want %t for this class", hasKey, key)
@@ -167,31 +178,19 @@
 	return nil
 }
 
-// requestURI is the path and query as they came.
-func requestURI(req *http.Request) string {
-	if strings.HasPrefix(req.RequestURI, "/") {
-		return req.RequestURI
+// target is what a request is for: its path and query as they came, and its
+// host. The absolute form names the host, whatever Host says (RFC 9112, section
+// 3.2.2).
+func target(req *Request) (uri, host string, err error) {
+	if strings.HasPrefix(req.Target, "/") {
+		return req.Target, req.Host, nil
 	}
-	return req.URL.RequestURI() // the absolute form, as to a proxy
-}
-
-// hopByHop are the fields that concern one connection only, and those that the
-// codec writes itself.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-	"Expect", "Content-Length",
-}
-
-// endToEnd is the part of a header that goes on to the other side.
-func endToEnd(h http.Header) http.Header {
-	h = h.Clone()
-	for _, line := range h["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
+	u, err := req.URL()
+	if err != nil {
+		return "", "", err
 	}
-	for _, name := range hopByHop {
-		delete(h, name)
+	if u.Scheme != "http" || u.User != nil || u.Opaque != "" || u.Host == "" {
+		return "", "", fmt.Errorf("target %.80q, want a path or an http URI", req.Target)
 	}
-	return h
+	return u.RequestURI(), u.Host, nil
 }
--- a/internal/front/http/routed.go
+++ b/internal/front/http/routed.go
@@ -1,15 +1,19 @@
 package httpfront
 
 import (
+	"encoding/binary"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"gorselink/balance"
+	"gorselink/internal/framing"
 	"gorselink/internal/pool"
 	"gorselink/route"
 )
@@ -104,16 +108,18 @@
 }
 
 // Judge implements Judge.
-func (j *Routed) Judge(req *http.Request) (*Plan, *Rejection) {
-	host, port, err := authority(req)
+func (j *Routed) Judge(req *Request) (*Plan, *Rejection) {
+	uri, name, err := target(req)
 	if err != nil {
 		return reject(http.StatusBadRequest, err)
 	}
-	target := req.RequestURI
-	if !strings.HasPrefix(target, "/") {
-		target = req.URL.RequestURI() // of the absolute form
+	var host, port string
+	if name != "" || req.Minor > 0 { // HTTP/1.0 need not say
+		if host, port, err = route.Host(name); err != nil {
+			return reject(http.StatusBadRequest, err)
+		}
 	}
-	path, query, err := route.Target(target)
+	path, query, err := route.Target(uri)
 	if err != nil {
 		return reject(http.StatusBadRequest, err)
 	}
@@ -132,31 +138,14 @@
 // judged is a request in its normal form.
 type judged struct {
 	*Routed
-	req  *http.Request
+	req  *Request
 	r    route.Request
 	uri  string // as it is sent on
 	host string // with the port
 }
 
-// authority is the host that a request is for.
-func authority(req *http.Request) (host, port string, err error) {
-	if req.ProtoMajor != 1 {
-		return "", "", errors.New("want HTTP/1.x")
-	}
-	// The absolute form names the host, whatever Host says (RFC 9112, section
-	// 3.2.2); ReadRequest has put it into req.Host, and that is what goes on.
-	if !strings.HasPrefix(req.RequestURI, "/") {
-		if req.URL.Scheme != "http" || req.URL.User != nil || req.URL.Opaque != "" {
-			return "", "", fmt.Errorf("target %.80q, want a path or an http URI", req.RequestURI)
-		}
-	} else if req.Host == "" && !req.ProtoAtLeast(1, 1) {
-		return "", "", nil // HTTP/1.0 need not say
-	}
-	return route.Host(req.Host)
-}
-
 // named is the class that the request names, if any.
-func (j *Routed) named(req *http.Request, path string) (string, error) {
+func (j *Routed) named(req *Request, path string) (string, error) {
 	if j.Strict {
 		name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 		return name, nil
@@ -164,14 +153,11 @@
 	if j.ClassHeader == "" {
 		return "", nil
 	}
-	switch names := req.Header[j.ClassHeader]; len(names) {
-	case 0:
-		return "", nil
-	case 1:
-		return names[0], nil
-	default:
-		return "", fmt.Errorf("%s %.80q, want one class", j.ClassHeader, names)
+	name, n := req.Fields.Find(j.ClassHeader)
+	if n > 1 {
+		return "", fmt.Errorf("%s %.80q, %d of them, want one class", j.ClassHeader, name, n)
 	}
+	return name, nil
 }
 
 // plan finds the request's target in the present table.
@@ -219,25 +205,34 @@
 			return nil, wrong
 		}
 	}
-	p.Out = outgoing(j.req, j.uri, j.host, semantics)
+	p.Out = outgoing(j.req, j.uri, j.host, semantics, 2)
 	if !j.Strict {
 		// The id is ours: one from outside could be another request's.
-		p.Out.Header.Set("X-Call-Id", fmt.Sprintf("%016x", rand.Uint64()))
-		if addr := j.req.RemoteAddr; addr != "" {
-			p.Out.Header.Add("X-Forwarded-For", addr)
+		p.Out.Fields = slices.DeleteFunc(p.Out.Fields, func(f framing.Field) bool { return strings.EqualFold(f.Name, "X-Call-Id") })
+		p.Out.Fields = append(p.Out.Fields, framing.Field{Name: "X-Call-Id", Value: madeID()})
+		if addr := j.req.Remote; addr != "" {
+			p.Out.Fields = append(p.Out.Fields, framing.Field{Name: "X-Forwarded-For", Value: addr})
 		}
 	}
 	return p, nil
 }
 
+// madeID is an id of 16 hexadecimal digits.
+func madeID() string {
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], rand.Uint64())
+	return hex.EncodeToString(b[:])
+}
+
 // maxKey bounds an Idempotency-Key; those in use have some dozen bytes.
 const maxKey = 255
 
 // semantics tells what repeating the request does.
 func (j *judged) semantics(class *Class) (balance.Semantics, error) {
-	keys, has := j.req.Header["Idempotency-Key"]
-	if has && (len(keys) != 1 || keys[0] == "" || len(keys[0]) > maxKey) {
-		return 0, fmt.Errorf("Idempotency-Key %.80q, want one of 1 to %d bytes", keys, maxKey)
+	key, n := j.req.Fields.Find("Idempotency-Key")
+	has := n > 0
+	if has && (n != 1 || key == "" || len(key) > maxKey) {
+		return 0, fmt.Errorf("Idempotency-Key %.80q, %d of them, want one of 1 to %d bytes", key, n, maxKey)
 	}
 	if !class.ByMethod {
 		s := class.Forms[0].Semantics
@@ -261,7 +256,7 @@
 // bind keeps a repeat with the pool that has had its key, even if the table
 // now leads elsewhere.
 func (j *judged) bind(t *Table, p *Plan, class *Class, c *balance.Class) *Rejection {
-	key := j.req.Header["Idempotency-Key"][0]
+	key := j.req.Fields.Get("Idempotency-Key")
 	bound, sure := j.Keys.Bind(j.Keys.keyOf(j.r.Host, j.r.Path, key), p.Pool.Name(), j.Keys.now())
 	if bound == p.Pool.Name() {
 		if !sure && j.movedWithin(t, bound) {
--- a/internal/front/http/routed_test.go
+++ b/internal/front/http/routed_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gorselink/balance"
+	"gorselink/internal/framing"
 	"gorselink/internal/limit"
 	"gorselink/internal/pool"
 	"gorselink/internal/upstream"
@@ -44,8 +45,16 @@
 	return NewRouted(table, false, "", NewKeys(time.Minute), NewIDs(time.Second)), open, closed
 }
 
-func parseHead(text string) (*http.Request, error) {
-	return http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+func parseHead(text string) (*Request, error) {
+	raw, err := framing.Peek(bufio.NewReaderSize(strings.NewReader(text), framing.MaxHead))
+	if err != nil {
+		return nil, err
+	}
+	h, err := framing.ParseRequest(raw)
+	if err == nil {
+		_, err = h.Path()
+	}
+	return &Request{Head: h}, err
 }
 
 // FuzzRouteWhatIsMatchedIsWhatIsSent: what goes on of a request is judged the
@@ -82,7 +91,11 @@
 			t.Fatalf("%q %q went on as %q %q, which is judged otherwise: %+v %v", target, host, p.Out.URI, p.Out.Host, p2, wrong)
 		}
 		// What net/http's own reading of it names is on the same side.
-		first, _, _ := strings.Cut(strings.TrimPrefix(again.URL.Path, "/"), "/")
+		node, err := http.ReadRequest(bufio.NewReader(strings.NewReader(again.Method + " " + again.Target + " HTTP/1.1\r\nHost: " + again.Host + "\r\n\r\n")))
+		if err != nil {
+			t.Fatalf("%q %q went on as %q %q, which a node cannot read: %v", target, host, p.Out.URI, p.Out.Host, err)
+		}
+		first, _, _ := strings.Cut(strings.TrimPrefix(node.URL.Path, "/"), "/")
 		if (first == "closed") != (p.Pool == closed) {
 			t.Fatalf("%q went to pool %s as %q, whose first segment a node reads as %q", target, p.Pool.Name(), p.Out.URI, first)
 		}
@@ -168,10 +181,16 @@
 		{"many chunks and no room", 100 + 128<<10, 1 << 20, "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1000\r\n"+strings.Repeat("c", 4096)+"\r\n", 60) + "0\r\n\r\n", "", errBodyRoom},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			req, err := parseHead("POST / HTTP/1.1\r\nHost: x\r\n" + c.text)
+			in := bufio.NewReaderSize(strings.NewReader("POST / HTTP/1.1\r\nHost: x\r\n"+c.text), framing.MaxHead)
+			raw, err := framing.Peek(in)
+			if err != nil {
+				t.Fatal(err)
+			}
+			h, err := framing.ParseRequest(raw)
 			if err != nil {
 				t.Fatal(err)
 			}
+			in.Discard(len(raw))
 			var b limit.Bytes
 			b.Set(c.budget)
 			other, _ := b.Reserve(min(100, c.budget/2))
@@ -179,7 +198,7 @@
 				other.Release()
 			}
 			before := b.Left()
-			got, err := readBody(req, &b, c.most)
+			got, err := readBody(in, h, &b, c.most)
 			if c.err != nil {
 				if err == nil || !strings.Contains(err.Error(), c.err.Error()) {
 					t.Errorf("error %v, want %v", err, c.err)
--- a/internal/load/html.go
+++ b/internal/load/html.go
@@ -155,6 +155,9 @@
 			fmt.Fprintf(&b, "%.1f,%.1f ", px, py)
 			last = py
 		}
+		if l.Steps && len(l.X) > 0 {
+			fmt.Fprintf(&b, "%.1f,%.1f", x.at(l.X[len(l.X)-1]+1), last)
+		}
 		c.Lines = append(c.Lines, curve{l.Name, l.Class, strings.TrimSpace(b.String()), float64(i) * keyWidth})
 	}
 	return c
--- a/internal/load/lane.go
+++ b/internal/load/lane.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"os"
 	"strconv"
 	"time"
@@ -108,7 +109,7 @@
 	} else {
 		l.shard.first(ended-begin, o)
 	}
-	harmless := o == Refused || o == NoConn || (o == Failed || o == Broken) && (s.Keyed || safe(req.http.Method))
+	harmless := o == Refused || o == NoConn || (o == Failed || o == Broken) && (s.Keyed || safe(req.method))
 	if wait, again := r.cfg.Client.Next(j.retries, harmless, retryAfter, caller.Heeds); again && ended+wait < deadline {
 		j.retries++
 		r.later(j, ended, wait)
@@ -130,7 +131,7 @@
 		req.host, req.class, req.path = cmp.Or(record.Host, req.host), cmp.Or(record.Class, req.class), record.Path
 	}
 	req.body = bodyOf(body)
-	req.http = &http.Request{Method: cmp.Or(method, http.MethodGet)}
+	req.method = cmp.Or(method, http.MethodGet)
 	return req
 }
 
@@ -238,35 +239,57 @@
 		l.conn.SetReadDeadline(time.Now().Add(earlyAnswer))
 	}
 	for interim := 0; ; interim++ {
-		head, herr := framing.Peek(l.in)
+		raw, herr := framing.Peek(l.in)
 		if herr != nil {
 			if err != nil {
 				herr = err
 			}
 			return 0, 0, herr
 		}
-		if err := framing.Check(head); err != nil {
-			return 0, 0, err
-		}
-		resp, rerr := http.ReadResponse(l.in, req.http)
-		if rerr != nil {
-			return 0, 0, rerr
+		h, herr := framing.ParseResponse(raw)
+		if herr != nil {
+			return 0, 0, herr
 		}
-		if resp.StatusCode < 200 && interim < 8 {
+		l.in.Discard(len(raw))
+		if h.Status < 200 && interim < 8 {
 			continue
 		}
-		n, cerr := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer+1))
+		n, ended, cerr := l.body(h, req.method)
 		l.r.bytes.Add(n)
 		if cerr != nil {
 			return 0, 0, cerr
 		}
-		if n > maxAnswer {
-			return 0, 0, errors.New("an answer without end")
-		}
 		// Bytes behind the answer are a second one, or noise.
-		l.keep = err == nil && !resp.Close && l.in.Buffered() == 0
-		return resp.StatusCode, after(resp.Header.Get("Retry-After")), nil
+		l.keep = err == nil && !ended && !h.Close && l.in.Buffered() == 0
+		return h.Status, after(h.Fields.Get("Retry-After")), nil
+	}
+}
+
+// body reads the body of an answer and tells whether the connection has ended
+// with it.
+func (l *lane) body(h *framing.Head, method string) (n int64, ended bool, err error) {
+	if method == http.MethodHead || h.Status == http.StatusNoContent || h.Status == http.StatusNotModified {
+		return 0, false, nil
+	}
+	var in io.Reader = l.in
+	switch {
+	case h.Chunked:
+		in = httputil.NewChunkedReader(l.in)
+	case h.Length >= 0:
+		in = io.LimitReader(l.in, h.Length)
+	}
+	if n, err = io.Copy(io.Discard, io.LimitReader(in, maxAnswer+1)); err != nil {
+		return n, false, err
+	}
+	switch {
+	case n > maxAnswer:
+		return n, false, errors.New("an answer without end")
+	case h.Chunked:
+		return n, false, framing.SkipTrailers(l.in)
+	case h.Length >= 0 && n < h.Length:
+		return n, false, io.ErrUnexpectedEOF
 	}
+	return n, h.Length < 0, nil
 }
 
 // earlyAnswer is how long an answer is awaited to a request that broke off.
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -100,6 +100,7 @@
 // request is what one try sends.
 type request struct {
 	stream *traffic.Stream
+	method string
 	host   string
 	class  string
 	path   string
@@ -108,12 +109,11 @@
 	budget time.Duration // 0 for none
 	body   []byte
 	leave  time.Time // zero for never
-	http   *http.Request
 }
 
 // appendHead appends the head of the request, whole.
 func (r *request) appendHead(b []byte) []byte {
-	b = append(b, r.http.Method...)
+	b = append(b, r.method...)
 	b = append(b, ' ')
 	b = append(b, r.path...)
 	b = append(b, " HTTP/1.1\r\nHost: "...)
@@ -138,7 +138,7 @@
 		b = append(b, ": "...)
 		b = append(b, h.Value...)
 	}
-	if len(r.body) > 0 || r.http.Method != http.MethodGet && r.http.Method != http.MethodHead {
+	if len(r.body) > 0 || r.method != http.MethodGet && r.method != http.MethodHead {
 		b = append(b, "\r\nContent-Length: "...)
 		b = strconv.AppendInt(b, int64(len(r.body)), 10)
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"testing"
 	"time"
 
@@ -65,7 +64,7 @@
 // ask takes one safe request through p and returns its answer.
 func ask(t *testing.T, p *Pool, again bool) (Answer, error) {
 	t.Helper()
-	r := &Request{Tenant: -1, Budget: patience, Again: again, Out: upstream.Request{Method: "GET", URI: "/", Host: "x", Header: http.Header{}}}
+	r := &Request{Tenant: -1, Budget: patience, Again: again, Out: upstream.Request{Method: "GET", URI: "/", Host: "x"}}
 	if err := p.Take(r); err != nil {
 		return Answer{}, err
 	}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -9,7 +9,7 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
+	"net/http/httputil"
 	"os"
 	"strconv"
 	"time"
@@ -24,7 +24,7 @@
 	Method string
 	URI    string // path and query as they came
 	Host   string
-	Header http.Header // not changed
+	Fields framing.Fields // sent but for those of the hop; not changed
 	Body   []byte
 	Once   bool // must not run twice, so a reset cannot be mended
 }
@@ -32,7 +32,7 @@
 // Answer is an endpoint's answer, whole. Who gets one must release it.
 type Answer struct {
 	Status int
-	Header http.Header
+	Fields framing.Fields
 	Body   []byte
 	large  limit.Hold
 }
@@ -85,17 +85,23 @@
 		return nil, result
 	}
 	c.SetDeadline(deadline)
+	over := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		// The request has been answered, and nothing is sent for it any more; if
+		// it is out already its answer is waited for a while.
+		c.SetWriteDeadline(time.Unix(1, 0))
+		c.limit(deadline, afterOver)
+		close(over)
+	})
 	sent := time.Now()
 	if err := c.send(ctx, r, timeout); err != nil {
 		result := c.unsent(ctx, r)
+		if !stop() {
+			<-over
+		}
 		p.lose(c)
 		return nil, result
 	}
-	over := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		c.limit(deadline, afterOver)
-		close(over)
-	})
 	a, again, result := c.receive(r, deadline)
 	if !stop() {
 		<-over
@@ -106,7 +112,7 @@
 	if result == balance.Reset && !c.begun {
 		p.suspect(c, sent)
 	}
-	if !again || c.spoiled || !c.quiet() {
+	if !again || !c.quiet() {
 		p.lose(c)
 		return a, result
 	}
@@ -151,28 +157,42 @@
 // send writes the request. An error means that its last byte did not go out,
 // so that the endpoint has not begun it.
 func (c *conn) send(ctx context.Context, r *Request, timeout time.Duration) error {
-	// The request may be answered meanwhile, and nothing is sent for it then.
-	stop := context.AfterFunc(ctx, func() { c.SetWriteDeadline(time.Unix(1, 0)) })
-	defer func() { c.spoiled = !stop() }()
 	if err := ctx.Err(); err != nil {
 		return err
 	}
-	header := r.Header.Clone()
-	header.Set("X-Budget-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
-	out := http.Request{
-		Method:        r.Method,
-		URL:           &url.URL{Opaque: r.URI},
-		Host:          cmp.Or(r.Host, c.target.Address), // HTTP/1.1 must name one
-		Header:        header,
-		ContentLength: int64(len(r.Body)),
-	}
-	if len(r.Body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(r.Body))
-	}
-	if err := out.Write(c.out); err != nil {
+	c.out = c.encode(c.out[:0], r, timeout)
+	if len(r.Body) > 0 && len(c.out)+len(r.Body) > writeBuffer {
+		all := net.Buffers{c.out, r.Body}
+		_, err := all.WriteTo(c.Conn)
 		return err
 	}
-	return c.out.Flush()
+	c.out = append(c.out, r.Body...)
+	_, err := c.Write(c.out)
+	return err
+}
+
+// encode appends the head of the request.
+func (c *conn) encode(b []byte, r *Request, timeout time.Duration) []byte {
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.URI...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, cmp.Or(r.Host, c.target.Address)...) // HTTP/1.1 must name one
+	b = append(b, "\r\n"...)
+	b = r.Fields.Append(b)
+	b = append(b, "X-Budget-Ms: "...)
+	b = strconv.AppendInt(b, timeout.Milliseconds(), 10)
+	switch r.Method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch: // have one also where it is empty, RFC 9110, section 8.6
+		b = append(b, "\r\nContent-Length: "...)
+		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+	default:
+		if len(r.Body) > 0 {
+			b = append(b, "\r\nContent-Length: "...)
+			b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+		}
+	}
+	return append(b, "\r\n\r\n"...)
 }
 
 // unsent tells what became of a request whose last byte did not go out. The
@@ -182,7 +202,7 @@
 		return balance.NotSent
 	}
 	c.SetReadDeadline(time.Now().Add(lastLook))
-	if resp, err := c.head(r, time.Now().Add(lastLook)); err == nil && turnedAway(resp) {
+	if resp, err := c.head(time.Now().Add(lastLook)); err == nil && turnedAway(resp) {
 		return balance.Overloaded
 	}
 	return balance.ConnectError
@@ -192,7 +212,7 @@
 type spoilt struct{ error }
 
 // head reads the head of the answer, past any interim ones.
-func (c *conn) head(r *Request, deadline time.Time) (*http.Response, error) {
+func (c *conn) head(deadline time.Time) (*framing.Head, error) {
 	c.begun = false
 	for range maxInterim + 1 {
 		if _, err := c.in.Peek(1); err != nil {
@@ -204,27 +224,23 @@
 		if b, err := c.in.Peek(len(protocol)); err == nil && string(b) != protocol {
 			return nil, spoilt{fmt.Errorf("begins with %q", b)}
 		}
-		head, err := framing.Peek(c.in)
+		raw, err := framing.Peek(c.in)
 		if errors.Is(err, framing.ErrLong) {
 			return nil, spoilt{err}
 		}
 		if err != nil {
 			return nil, inside(err)
 		}
-		if err := framing.Check(head); err != nil {
-			return nil, spoilt{err}
-		}
-		// net/http says of every answer without a length that it closes.
-		c.closes = bytes.Contains(bytes.ToLower(head), []byte("\r\nconnection: close"))
-		resp, err := http.ReadResponse(c.in, &http.Request{Method: r.Method})
+		h, err := framing.ParseResponse(raw)
 		if err != nil {
 			return nil, spoilt{err}
 		}
-		if resp.StatusCode == http.StatusSwitchingProtocols || resp.StatusCode < 100 {
-			return nil, spoilt{fmt.Errorf("status %d", resp.StatusCode)}
+		c.in.Discard(len(raw))
+		if h.Status == http.StatusSwitchingProtocols {
+			return nil, spoilt{errors.New("switches protocols, which nobody asked for")}
 		}
-		if resp.StatusCode >= 200 {
-			return resp, nil
+		if h.Status >= 200 {
+			return h, nil
 		}
 		c.SetReadDeadline(deadline) // the answer may take its time after an interim one
 	}
@@ -242,24 +258,24 @@
 	return err
 }
 
-func turnedAway(resp *http.Response) bool {
-	return (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
-		resp.Header.Get("X-Rejected") == "1"
+func turnedAway(h *framing.Head) bool {
+	return (h.Status == http.StatusServiceUnavailable || h.Status == http.StatusGatewayTimeout) &&
+		h.Fields.Get("X-Rejected") == "1"
 }
 
 // receive reads the answer to a request that is out, and tells whether the
 // connection can be used again.
 func (c *conn) receive(r *Request, deadline time.Time) (a *Answer, again bool, result balance.Result) {
-	resp, err := c.head(r, deadline)
+	h, err := c.head(deadline)
 	if err != nil {
 		return nil, false, broken(err)
 	}
-	body, large, err := c.body(resp)
-	again = err == nil && !resp.Close && c.in.Buffered() == 0
+	body, large, err := c.body(h, r.Method)
+	again = err == nil && !h.Close && c.in.Buffered() == 0
 	switch {
-	case turnedAway(resp):
+	case turnedAway(h):
 		result = balance.Overloaded
-	case !c.target.pool.serves(resp.StatusCode):
+	case !c.target.pool.serves(h.Status):
 		result = balance.Error
 	case err != nil:
 		again, result = false, broken(err)
@@ -268,7 +284,7 @@
 		large.Release()
 		return nil, again, result
 	}
-	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, large: large}, again, result
+	return &Answer{Status: h.Status, Fields: h.Fields, Body: body, large: large}, again, result
 }
 
 // serves tells whether an answer with this status is one to the request, and
@@ -277,25 +293,55 @@
 	return status == http.StatusOK || p.cfg.AnyStatus && status < 500
 }
 
+// bodiless tells whether an answer has no body, whatever length it tells (RFC
+// 9112, section 6.3).
+func bodiless(h *framing.Head, method string) bool {
+	return method == http.MethodHead || h.Status == http.StatusNoContent || h.Status == http.StatusNotModified
+}
+
 // body reads the body of an answer to its end. What it holds is the caller's to
 // release, also with an error.
-func (c *conn) body(resp *http.Response) (data []byte, large limit.Hold, err error) {
-	if resp.Body == http.NoBody { // as of a HEAD, whatever length it tells
+func (c *conn) body(h *framing.Head, method string) (data []byte, large limit.Hold, err error) {
+	if h.Length == 0 || bodiless(h, method) {
 		return nil, large, nil
 	}
 	maxLarge := c.target.pool.cfg.MaxAnswer
-	if resp.ContentLength > int64(maxLarge) {
-		return nil, large, spoilt{fmt.Errorf("body of %d bytes, want %d at most", resp.ContentLength, maxLarge)}
+	if h.Length > int64(maxLarge) {
+		return nil, large, spoilt{fmt.Errorf("body of %d bytes, want %d at most", h.Length, maxLarge)}
+	}
+	if h.Length > 0 {
+		if h.Length > SmallAnswer {
+			var ok bool
+			if large, ok = c.target.pool.large.Reserve(h.Length); !ok {
+				return nil, large, spoilt{fmt.Errorf("no room for a body of %d bytes", h.Length)}
+			}
+		}
+		data = make([]byte, h.Length)
+		if _, err := io.ReadFull(c.in, data); err != nil {
+			return nil, large, inside(err)
+		}
+		return data, large, nil
 	}
-	chunked := len(resp.TransferEncoding) > 0
-	if resp.ContentLength < 0 && !chunked && !c.closes {
+	if !h.Chunked && !h.Told {
 		// It would end with the connection, which the endpoint has not said
 		// it would close: whether it is whole could never be told.
 		return nil, large, spoilt{errors.New("body has no length")}
 	}
+	return c.endless(h.Chunked, maxLarge)
+}
+
+// endless reads a body whose length shows at its end.
+func (c *conn) endless(chunked bool, maxLarge int) (data []byte, large limit.Hold, err error) {
 	var body bytes.Buffer
+	var in io.Reader = c.in
+	if chunked {
+		in = httputil.NewChunkedReader(c.in)
+	}
 	read := func(most int) error {
-		_, err := body.ReadFrom(io.LimitReader(resp.Body, int64(most+1-body.Len())))
+		_, err := body.ReadFrom(io.LimitReader(in, int64(most+1-body.Len())))
+		if err == nil && body.Len() <= most && chunked {
+			err = framing.SkipTrailers(c.in)
+		}
 		var ne net.Error
 		if err != nil && chunked && !errors.As(err, &ne) && !errors.Is(err, io.ErrUnexpectedEOF) {
 			return spoilt{err} // a chunk that cannot be read
@@ -308,24 +354,12 @@
 		}
 		return nil
 	}
-	if resp.ContentLength <= SmallAnswer {
-		if resp.ContentLength > 0 {
-			body.Grow(int(resp.ContentLength) + bytes.MinRead) // for one read that finds the end
-		}
-		if err := read(min(SmallAnswer, maxLarge)); err == nil || body.Len() <= SmallAnswer {
-			return body.Bytes(), large, err
-		}
+	if err := read(min(SmallAnswer, maxLarge)); err == nil || body.Len() <= SmallAnswer {
+		return body.Bytes(), large, err
 	}
-	size := resp.ContentLength
-	if size < 0 {
-		size = 2 * int64(maxLarge) // as the buffer may grow
-	}
-	large, ok := c.target.pool.large.Reserve(size)
+	large, ok := c.target.pool.large.Reserve(2 * int64(maxLarge)) // as the buffer may grow
 	if !ok {
-		return nil, large, spoilt{fmt.Errorf("no room for a body of %d bytes", size)}
-	}
-	if resp.ContentLength > 0 {
-		body.Grow(int(resp.ContentLength) + bytes.MinRead)
+		return nil, large, spoilt{fmt.Errorf("no room for a body of up to %d bytes", maxLarge)}
 	}
 	err = read(maxLarge)
 	large.Shrink(int64(body.Cap()))
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -63,7 +63,7 @@
 }
 
 func send(p *Pool, timeout time.Duration) (*Answer, balance.Result) {
-	return p.Do(context.Background(), "s-1", &Request{Method: "GET", URI: "/x", Host: "x", Header: http.Header{}}, timeout)
+	return p.Do(context.Background(), "s-1", &Request{Method: "GET", URI: "/x", Host: "x"}, timeout)
 }
 
 const good = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
@@ -184,7 +184,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan balance.Result)
 	go func() {
-		_, result := p.Do(ctx, "s-1", &Request{Method: "GET", URI: "/x", Host: "x", Header: http.Header{}}, 10*patience)
+		_, result := p.Do(ctx, "s-1", &Request{Method: "GET", URI: "/x", Host: "x"}, 10*patience)
 		ended <- result
 	}()
 	for end := time.Now().Add(patience); p.Open() == 0 && time.Now().Before(end); {
@@ -221,7 +221,7 @@
 	try := func(once bool, want balance.Result, total int) {
 		t.Helper()
 		time.Sleep(2 * restless)
-		r := &Request{Method: "GET", URI: "/x", Host: "x", Header: http.Header{}, Once: once}
+		r := &Request{Method: "GET", URI: "/x", Host: "x", Once: once}
 		if _, result := p.Do(context.Background(), "s-1", r, patience); result != want {
 			t.Fatalf("result %v, want %v", result, want)
 		}
@@ -305,7 +305,7 @@
 	} {
 		p, _ := script(t, func(nc net.Conn, n int) { fmt.Fprint(nc, c.text) })
 		p.cfg.AnyStatus = true
-		a, result := p.Do(context.Background(), "s-1", &Request{Method: c.method, URI: "/", Host: "x", Header: http.Header{}}, patience)
+		a, result := p.Do(context.Background(), "s-1", &Request{Method: c.method, URI: "/", Host: "x"}, patience)
 		status, body := 0, ""
 		if a != nil {
 			status, body = a.Status, string(a.Body)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -16,16 +16,15 @@
 	net.Conn
 	target    *target
 	in        *bufio.Reader
-	out       *bufio.Writer
-	begun     bool // an answer to the request that is out has begun
-	closes    bool // the last answer's head says that it ends the connection
-	spoiled   bool // a write deadline may still be set on it from aside
+	out       []byte // of the request that is sent
+	begun     bool   // an answer to the request that is out has begun
 	idleSince time.Time
 	place     *list.Element // in Pool.idle
 }
 
 const (
-	// writeBuffer holds most requests whole.
+	// writeBuffer holds most requests whole; a longer body is written from
+	// where it is.
 	writeBuffer = 4 << 10
 	// receiveBuffer is the kernel's: whole answers fit. Left to itself it grows
 	// to megabytes under an endpoint that sends without end, out of the
@@ -41,7 +40,6 @@
 		Conn:   c,
 		target: t,
 		in:     bufio.NewReaderSize(c, framing.MaxHead),
-		out:    bufio.NewWriterSize(c, writeBuffer),
 	}
 }
 
