The caller's goroutine makes the first attempt; the Balancer's timers in a heap

Need: each attempt had a goroutine, a context and a channel of its own, the caller's goroutine only waited beside it, and each request left two or three timers in the runtime's heap for as long as its deadline: ten seconds of them were a fifth of the processor time at 2,000 a second and most of the memory.

Change: pool.Attempt makes the first attempt where the request was read; later ones, and those beside it, have goroutines as before. The caller is watched for leaving once its request is out for 5 ms, by a timer that is used again, instead of by a read in each request. upstream.Call tells attempts that their request is over, in place of a context. The Balancer's timers are 16 bytes each in a heap of the pool, with one timer of the runtime. A kept connection is looked at once, when it is taken, not also when it is given back. internal/sock looks at sockets without an allocation, for both sides.

--- a/internal/front/http/caller.go
+++ b/internal/front/http/caller.go
@@ -17,6 +17,7 @@
 
 	"gorselink/internal/framing"
 	"gorselink/internal/pool"
+	"gorselink/internal/sock"
 )
 
 // Times bound how long a connection may do nothing. The zero value has the
@@ -79,12 +80,19 @@
 	callers *Callers
 	conn    net.Conn
 	in      *bufio.Reader
+	look    *sock.Look
 	born    time.Time
 	gone    chan struct{} // closed when the connection is given up for another
 	done    chan struct{} // closed when its descriptor is free
 	rejects int           // in a row
 	remote  string        // address of the caller, if Callers.Remote
 
+	// Of the request that is out.
+	watch   *time.Timer // begins watchOut, which tells watched
+	watched chan bool   // whether the caller has left
+	pool    *pool.Pool
+	request *pool.Request
+
 	state state         // guarded by Callers.mu, as is
 	place *list.Element // where it stands in its state; nil when given up
 }
@@ -97,15 +105,20 @@
 	if cs.Remote {
 		remote, _, _ = net.SplitHostPort(nc.RemoteAddr().String())
 	}
-	return &caller{
+	c := &caller{
 		remote:  remote,
 		callers: cs,
 		conn:    nc,
+		look:    sock.New(nc),
 		in:      bufio.NewReaderSize(nc, framing.MaxHead),
 		born:    time.Now(),
 		gone:    make(chan struct{}),
 		done:    make(chan struct{}),
+		watched: make(chan bool, 1),
 	}
+	c.watch = time.AfterFunc(time.Hour, c.watchOut)
+	c.watch.Stop()
+	return c
 }
 
 // serve reads requests one by one and answers each.
@@ -272,14 +285,19 @@
 	}
 	defer p.Pool.Done(r)
 	c.rejects = 0
-	// Nothing should come before the answer; waiting for it tells when the
-	// caller has gone away. The answer ends the wait.
-	_, err := c.in.Peek(1)
-	left := err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
-	if left {
-		p.Pool.Withdraw(r)
-	}
+	c.pool, c.request = p.Pool, r
+	c.watch.Reset(watchAfter)
+	p.Pool.Attempt(r)
 	a := <-r.Answer()
+	left := false
+	if c.watch.Stop() {
+		if c.look.State() == sock.Bytes {
+			c.in.Peek(1) // what came too early, see below
+		}
+	} else {
+		c.conn.SetReadDeadline(past)
+		left = <-c.watched
+	}
 	goesOn = c.give(req, answerOf(a, p), !left)
 	if a.Up != nil {
 		a.Up.Release()
@@ -290,6 +308,24 @@
 	return true, goesOn
 }
 
+// watchAfter is how long a request may be out before its caller is watched for
+// leaving. Most are answered within it and cost no wait of their own; what is
+// lost is that much of the time in which a request whose caller has gone could
+// be spared another attempt.
+const watchAfter = 5 * time.Millisecond
+
+// watchOut waits for what comes from the caller while its request is out. Nothing
+// should come before the answer, so that the wait tells when the caller has gone
+// away; the answer ends it.
+func (c *caller) watchOut() {
+	_, err := c.in.Peek(1)
+	left := err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	if left {
+		c.pool.Withdraw(c.request)
+	}
+	c.watched <- left
+}
+
 // mostAnew bounds how often a request is judged anew: each time its pool has
 // been replaced in the moment since it was judged.
 const mostAnew = 4
@@ -304,7 +340,6 @@
 			Budget: c.callers.left(p.Budget),
 			Again:  p.Again,
 			Out:    p.Out,
-			Wake:   func() { c.conn.SetReadDeadline(past) },
 			Over:   b.release,
 		}
 		r.Out.Body = b.data
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -5,7 +5,6 @@
 package pool
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"sync"
@@ -60,6 +59,7 @@
 	zones    map[string]int
 	wanted   bool      // a watch was wanted before there was a source
 	sources  []*source // followed: the one that tells and, after Move, the one to take over
+	alarms   alarms
 	stats    Stats
 	reported Stats // what the last Report has told
 }
@@ -71,16 +71,16 @@
 	Budget time.Duration
 	Out    upstream.Request
 	Again  bool   // may have been here before, and belongs to this pool even when retired
-	Wake   func() // called before the answer is there; must not block
 	Over   func() // called once when nothing is sent any more and no attempt is out
 
 	answer chan Answer // takes the one answer
 	id     balance.RequestID
 	taken  time.Time
-	ctx    context.Context // ends once nothing more may be sent for the request
-	cancel context.CancelFunc
+	call   upstream.Call // ends once nothing more may be sent for the request
+	first  *attempt      // that the caller's goroutine is to make, see Attempt
 
 	// Guarded by Pool.mu.
+	taking    bool // Take is under way
 	attempts  int
 	pending   int // attempts without an outcome
 	answered  bool
@@ -224,10 +224,10 @@
 func (p *Pool) now() time.Duration { return time.Since(p.start) }
 
 // Take hands a request to the Balancer, or tells why not. One that was taken is
-// answered once over Answer, and must be given back with Done.
+// answered once over Answer, needs a call of Attempt, which may be the first
+// attempt, and must be given back with Done.
 func (p *Pool) Take(r *Request) error {
 	r.answer = make(chan Answer, 1)
-	r.ctx, r.cancel = context.WithCancel(context.Background())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var err error
@@ -239,7 +239,6 @@
 		err = ErrFull
 	}
 	if err != nil {
-		r.cancel()
 		return err
 	}
 	p.open.Add(1)
@@ -248,7 +247,9 @@
 	r.taken = time.Now()
 	p.requests[r.id] = r
 	p.stats.Taken++
+	r.taking = true
 	p.balancer.Request(p.now(), r.id, r.Class, r.Tenant, r.Budget)
+	r.taking = false
 	return nil
 }
 
@@ -275,7 +276,7 @@
 		return
 	}
 	r.withdrawn = true
-	r.cancel()
+	r.call.End()
 	delete(p.requests, r.id)
 	p.stats.Withdrawn++
 	p.balancer.Withdrawn(p.now(), r.id)
@@ -322,18 +323,32 @@
 		r.own.Release()
 	}
 	r.own = nil
-	r.cancel()
+	r.call.End()
 	delete(p.requests, r.id)
-	if r.Wake != nil {
-		r.Wake()
-	}
 	r.answer <- a
 	return true
 }
 
+// attempt is one that the Balancer wants made.
+type attempt struct {
+	number        int
+	node          string
+	sent, timeout time.Duration
+}
+
+// Attempt makes the first attempt for a request that Take has taken, if the
+// Balancer wants one at once, and returns with its outcome. Whoever gave the
+// request has a goroutine that would only wait; with it the common request costs
+// none of its own. Later attempts, and those beside the first, have theirs.
+func (p *Pool) Attempt(r *Request) {
+	if r.first != nil {
+		p.attempt(r, r.first)
+	}
+}
+
 // attempt makes one attempt and tells the Balancer how it ended.
-func (p *Pool) attempt(r *Request, number int, node string, sent, timeout time.Duration) {
-	up, result := p.conns.Do(r.ctx, node, &r.Out, timeout)
+func (p *Pool) attempt(r *Request, a *attempt) {
+	up, result := p.conns.Do(&r.call, a.node, &r.Out, a.timeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
@@ -353,7 +368,7 @@
 		r.own = up
 	}
 	over := r.answered || r.withdrawn
-	p.balancer.Outcome(now, r.id, number, result, now-sent, over)
+	p.balancer.Outcome(now, r.id, a.number, result, now-a.sent, over)
 	p.settle(r)
 }
 
@@ -365,10 +380,14 @@
 func (h *host) Send(id balance.RequestID, addr string, timeout time.Duration) {
 	p := (*Pool)(h)
 	r := p.requests[id]
-	number := r.attempts
+	a := &attempt{number: r.attempts, node: addr, sent: p.now(), timeout: timeout}
 	r.attempts++
 	r.pending++
-	go p.attempt(r, number, addr, p.now(), timeout)
+	if r.taking && r.first == nil {
+		r.first = a
+		return
+	}
+	go p.attempt(r, a)
 }
 
 // Refuse implements balance.Host.
@@ -398,16 +417,6 @@
 	p.settle(r)
 }
 
-// After implements balance.Host.
-func (h *host) After(d time.Duration, token uint64) {
-	p := (*Pool)(h)
-	time.AfterFunc(d, func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.balancer.Timer(p.now(), token)
-	})
-}
-
 // Watch implements balance.Host.
 func (h *host) Watch() {
 	h.wanted = len(h.sources) == 0 // Run has not begun
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -69,6 +69,7 @@
 		return Answer{}, err
 	}
 	defer p.Done(r)
+	p.Attempt(r)
 	return <-r.Answer(), nil
 }
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -75,50 +75,48 @@
 
 // Do makes one attempt at the endpoint called name and waits for its outcome
 // for as long as timeout. Until its last byte is written, the attempt ends
-// with ctx, never having run; then it has afterOver to end. The answer comes
-// with balance.OK and, under Config.AnyStatus, with balance.Error if the
+// with its call, never having run; then it has afterOver to end. The answer
+// comes with balance.OK and, under Config.AnyStatus, with balance.Error if the
 // endpoint made one.
-func (p *Pool) Do(ctx context.Context, name string, r *Request, timeout time.Duration) (*Answer, balance.Result) {
+func (p *Pool) Do(call *Call, name string, r *Request, timeout time.Duration) (*Answer, balance.Result) {
 	deadline := time.Now().Add(timeout)
-	c, result := p.connect(ctx, name, r.Once, deadline)
+	c, result := p.connect(call, name, r.Once, deadline)
 	if c == nil {
 		return nil, result
 	}
 	c.SetDeadline(deadline)
-	over := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		// The request has been answered, and nothing is sent for it any more; if
-		// it is out already its answer is waited for a while.
-		c.SetWriteDeadline(time.Unix(1, 0))
-		c.limit(deadline, afterOver)
-		close(over)
-	})
+	me := out{c: c, deadline: deadline}
+	if !call.enter(me) {
+		p.giveBack(c)
+		return nil, balance.NotSent
+	}
 	sent := time.Now()
-	if err := c.send(ctx, r, timeout); err != nil {
-		result := c.unsent(ctx, r)
-		if !stop() {
-			<-over
-		}
+	if err := c.send(r, timeout); err != nil {
+		result := c.unsent(call)
+		call.leave(me)
 		p.lose(c)
 		return nil, result
 	}
 	a, again, result := c.receive(r, deadline)
-	if !stop() {
-		<-over
-		if result == balance.Timeout && time.Now().Before(deadline) {
-			result = balance.Cancelled
-		}
+	if call.leave(me) && result == balance.Timeout && time.Now().Before(deadline) {
+		result = balance.Cancelled
 	}
 	if result == balance.Reset && !c.begun {
 		p.suspect(c, sent)
 	}
-	if !again || !c.quiet() {
+	if !again {
 		p.lose(c)
 		return a, result
 	}
+	p.giveBack(c)
+	return a, result
+}
+
+// giveBack takes back a connection that nothing is out on. Whether it still
+// stands is seen when it is taken again.
+func (p *Pool) giveBack(c *conn) {
 	c.SetDeadline(time.Time{})
 	p.give(c)
-	return a, result
 }
 
 // limit makes reading end after d, or at the deadline if that is sooner.
@@ -130,8 +128,8 @@
 }
 
 // connect returns a connection to name, or what its lack means.
-func (p *Pool) connect(ctx context.Context, name string, once bool, deadline time.Time) (*conn, balance.Result) {
-	if ctx.Err() != nil {
+func (p *Pool) connect(call *Call, name string, once bool, deadline time.Time) (*conn, balance.Result) {
+	if call.Over() {
 		return nil, balance.NotSent
 	}
 	c, t := p.take(name, once)
@@ -143,10 +141,18 @@
 	}
 	// No TCP keep-alive: connections idle for seconds at most.
 	d := net.Dialer{Timeout: p.cfg.DialTimeout, Deadline: deadline, KeepAlive: -1}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	me := out{dial: &cancel}
+	if !call.enter(me) {
+		p.forget()
+		return nil, balance.NotSent
+	}
 	nc, err := d.DialContext(ctx, "tcp", t.Address)
+	over := call.leave(me)
 	if err != nil {
 		p.forget()
-		if ctx.Err() != nil || shortage(err) {
+		if over || shortage(err) {
 			return nil, balance.NotSent
 		}
 		return nil, balance.ConnectError
@@ -156,10 +162,7 @@
 
 // send writes the request. An error means that its last byte did not go out,
 // so that the endpoint has not begun it.
-func (c *conn) send(ctx context.Context, r *Request, timeout time.Duration) error {
-	if err := ctx.Err(); err != nil {
-		return err
-	}
+func (c *conn) send(r *Request, timeout time.Duration) error {
 	c.out = c.encode(c.out[:0], r, timeout)
 	if len(r.Body) > 0 && len(c.out)+len(r.Body) > writeBuffer {
 		all := net.Buffers{c.out, r.Body}
@@ -197,8 +200,8 @@
 
 // unsent tells what became of a request whose last byte did not go out. The
 // endpoint may have turned it away before it was whole.
-func (c *conn) unsent(ctx context.Context, r *Request) balance.Result {
-	if ctx.Err() != nil {
+func (c *conn) unsent(call *Call) balance.Result {
+	if call.Over() {
 		return balance.NotSent
 	}
 	c.SetReadDeadline(time.Now().Add(lastLook))
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gorselink/internal/framing"
+	"gorselink/internal/sock"
 )
 
 // conn is a connection to an endpoint.
@@ -20,6 +21,7 @@
 	begun     bool   // an answer to the request that is out has begun
 	idleSince time.Time
 	place     *list.Element // in Pool.idle
+	look      *sock.Look
 }
 
 const (
@@ -40,6 +42,7 @@
 		Conn:   c,
 		target: t,
 		in:     bufio.NewReaderSize(c, framing.MaxHead),
+		look:   sock.New(c),
 	}
 }
 
@@ -48,25 +51,7 @@
 // an answer would be read as the next one. It guards against resets of
 // requests that a look at the socket can spare.
 func (c *conn) quiet() bool {
-	if c.in.Buffered() > 0 {
-		return false
-	}
-	sys, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
+	return c.in.Buffered() == 0 && c.look.State() == sock.Quiet
 }
 
 // shortage tells whether dialling failed for want of something on this
