--- a/internal/load/bench_test.go
+++ b/internal/load/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -10,7 +11,7 @@
 
 // BenchmarkRun is two seconds against a stand-in node in the same process: how
 // late the generator itself is, what the requests took, and the processor time
-// of both sides together for each request.
+// and memory of both sides together.
 func BenchmarkRun(b *testing.B) {
 	for _, rate := range []int{1000, 5000, 20000} {
 		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
@@ -28,6 +29,10 @@
 			b.ReportMetric(float64(res.Latency.ValueAtQuantile(50)), "p50-µs")
 			b.ReportMetric(float64(res.Latency.ValueAtQuantile(99)), "p99-µs")
 			b.ReportMetric(float64(res.CPU/time.Microsecond)/float64(2*rate), "cpu-µs/request")
+			b.ReportMetric(float64(2*rate)/res.CPU.Seconds(), "requests/core-s")
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			b.ReportMetric(float64(m.Sys)/1e6, "MB")
 		})
 	}
 }
