--- a/scripts/perf/main.go
+++ b/scripts/perf/main.go
@@ -1,4 +1,4 @@
-// Command perf measures what gorselink costs on one core, beside no proxy and
+// Command perf measures what gorselink costs, on one core unless told otherwise, beside no proxy and
 // beside the standard library's httputil.ReverseProxy over the same nodes. It
 // makes the figures of docs/performance.md; scripts/performance runs it.
 //
@@ -42,6 +42,7 @@
 	Body      int           `default:"256" help:"Bytes of an answer."`
 	Flood     int           `default:"40000" help:"Requests a second that saturate it."`
 	Conns     int           `default:"64" help:"Connections of the callers."`
+	Cores     int           `default:"1" help:"Of either proxy."`
 	Role      string        `hidden:"" help:"What this process is: node or reverse."`
 	Targets   []string      `hidden:""`
 }
@@ -142,8 +143,8 @@
 	p.cmd.Wait()
 }
 
-// startGorselink starts the program on one core before the nodes.
-func startGorselink(binary, dir string, targets []string) (*process, error) {
+// startGorselink starts the program before the nodes.
+func (o options) startGorselink(dir string, targets []string) (*process, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free just now
 	if err != nil {
 		return nil, err
@@ -151,11 +152,11 @@
 	addr := l.Addr().String()
 	l.Close()
 	file := filepath.Join(dir, "gorselink.toml")
-	text := fmt.Sprintf("[process]\ncores = 1\nmemory = \"64 MiB\"\n[listeners.public]\naddress = %q\n[pools.a]\nnodes = [\"%s\"]\n[[routes]]\npool = \"a\"\n", addr, strings.Join(targets, `", "`))
+	text := fmt.Sprintf("[process]\ncores = %d\nmemory = \"64 MiB\"\n[listeners.public]\naddress = %q\n[pools.a]\nnodes = [\"%s\"]\n[[routes]]\npool = \"a\"\n", o.Cores, addr, strings.Join(targets, `", "`))
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	cmd := exec.Command(binary, "serve", "--config", file)
+	cmd := exec.Command(o.Gorselink, "serve", "--config", file)
 	var said bytes.Buffer
 	cmd.Stderr = &said
 	if err := cmd.Start(); err != nil {
@@ -218,12 +219,12 @@
 	}
 	defer node.end()
 	targets := strings.Split(node.addr, ",")
-	reverse, err := start([]string{"GOMAXPROCS=1"}, self, "--gorselink=x", "--role=reverse", "--targets="+node.addr)
+	reverse, err := start([]string{fmt.Sprintf("GOMAXPROCS=%d", o.Cores)}, self, "--gorselink=x", "--role=reverse", "--targets="+node.addr)
 	if err != nil {
 		return err
 	}
 	defer reverse.end()
-	gorselink, err := startGorselink(o.Gorselink, dir, targets)
+	gorselink, err := o.startGorselink(dir, targets)
 	if err != nil {
 		return err
 	}
@@ -329,7 +330,7 @@
 }
 
 func (o options) tell(w io.Writer, got map[figure][]float64, floor *load.Floor) error {
-	fmt.Fprintf(w, "%d rounds of %v, alternating; %d nodes in one process, answers of %d bytes, %d connections; proxies on one core\n", o.Rounds, o.For, o.Nodes, o.Body, o.Conns)
+	fmt.Fprintf(w, "%d rounds of %v, alternating; %d nodes in one process, answers of %d bytes, %d connections; proxies on %d cores\n", o.Rounds, o.For, o.Nodes, o.Body, o.Conns, o.Cores)
 	fmt.Fprintf(w, "an echo in the generator's own process: p50 %.0f, p99 %.0f us\n\n", floor.P50*1000, floor.P99*1000)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "\tnone\treverse\tgorselink\tgorselink/reverse\t")
