An idle caller's connection holds no body; the asked bound of own error stands

Cause: reading the change once more: a caller's connection kept its last request, and with it a body of up to its pool's bound, for as long as it was idle. And the bound of TestStallIsNotOwnError had been made ten times wider under the race detector, which hides a cost that is real.

Change: the request is let go of when it is answered.

--- a/internal/daemon/allocs_test.go
+++ b/internal/daemon/allocs_test.go
@@ -9,9 +9,8 @@
 	"testing"
 )
 
-// cannedNode answers each head that comes with the same bytes, and allocates
-// nothing for it.
-func cannedNode(t testing.TB) string {
+// rawNode is a node that does as told with each connection.
+func rawNode(t testing.TB, serve func(c net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -26,26 +25,32 @@
 			}
 			go func() {
 				defer c.Close()
-				buf := make([]byte, 8<<10)
-				for n := 0; ; {
-					k, err := c.Read(buf[n:])
-					if err != nil {
-						return
-					}
-					if n += k; !bytes.HasSuffix(buf[:n], crlf2) {
-						continue
-					}
-					n = 0
-					if _, err := c.Write(canned); err != nil {
-						return
-					}
-				}
+				serve(c)
 			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
+// answerCanned answers each head that comes with the same bytes, and allocates
+// nothing for it.
+func answerCanned(c net.Conn) {
+	buf := make([]byte, 8<<10)
+	for n := 0; ; {
+		k, err := c.Read(buf[n:])
+		if err != nil {
+			return
+		}
+		if n += k; !bytes.HasSuffix(buf[:n], crlf2) {
+			continue
+		}
+		n = 0
+		if _, err := c.Write(canned); err != nil {
+			return
+		}
+	}
+}
+
 var (
 	crlf2  = []byte("\r\n\r\n")
 	canned = []byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nDate: Tue, 01 Dec 2026 11:00:00 GMT\r\nContent-Length: 16\r\n\r\n{\"total\": 12345}")
@@ -54,7 +59,7 @@
 // asker asks over one connection and allocates nothing for it.
 func asker(t testing.TB) func() {
 	t.Helper()
-	text := strings.Replace(head, "128 MiB", "512 MiB", 1) + fmt.Sprintf("[pools.a]\nnodes = [%q]\n", cannedNode(t)) + routeText("a.example.org", "a")
+	text := strings.Replace(head, "128 MiB", "512 MiB", 1) + fmt.Sprintf("[pools.a]\nnodes = [%q]\n", rawNode(t, answerCanned)) + routeText("a.example.org", "a")
 	conn, err := net.Dial("tcp", start(t, text).at(t))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/daemon/bytes_test.go
+++ b/internal/daemon/bytes_test.go
@@ -41,36 +41,22 @@
 		}
 	}
 	var seen []string
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
+	node := rawNode(t, func(c net.Conn) {
+		in := bufio.NewReader(c)
 		for {
-			c, err := l.Accept()
+			req, err := http.ReadRequest(in)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				in := bufio.NewReader(c)
-				for {
-					req, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					body, _ := io.ReadAll(req.Body)
-					mu.Lock()
-					seen = append(seen, fmt.Sprintf("%s %s %s %s %s", req.Method, req.RequestURI, req.Host, req.Header.Get("X-One"), body))
-					at := splitAt
-					mu.Unlock()
-					write(c, answer, at)
-				}
-			}()
+			body, _ := io.ReadAll(req.Body)
+			mu.Lock()
+			seen = append(seen, fmt.Sprintf("%s %s %s %s %s", req.Method, req.RequestURI, req.Host, req.Header.Get("X-One"), body))
+			at := splitAt
+			mu.Unlock()
+			write(c, answer, at)
 		}
-	}()
-	text := strings.Replace(head, "128 MiB", "512 MiB", 1) + fmt.Sprintf("[pools.a]\nnodes = [%q]\n", l.Addr().String()) + routeText("a.example.org", "a")
+	})
+	text := strings.Replace(head, "128 MiB", "512 MiB", 1) + fmt.Sprintf("[pools.a]\nnodes = [%q]\n", node) + routeText("a.example.org", "a")
 	addr := start(t, text).at(t)
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
--- a/internal/front/http/caller.go
+++ b/internal/front/http/caller.go
@@ -301,6 +301,7 @@
 		c.conn.SetReadDeadline(past)
 		left = <-c.watched
 	}
+	c.pool, c.request = nil, nil // an idle connection holds no body
 	goesOn = c.give(req, answerOf(a, p), !left)
 	if a.Up != nil {
 		a.Up.Release()
--- a/internal/load/verdict_test.go
+++ b/internal/load/verdict_test.go
@@ -29,8 +29,8 @@
 			res := run(t, cfg)
 			own, due := res.Schedule.ValueAtQuantile(99.9), res.Latency.ValueAtQuantile(99.9)
 			t.Logf("p99.9: own error %d µs, since due %d µs; with what was held up %d µs, for a connection %d µs", own, due, res.Held.ValueAtQuantile(99.9), res.Waited.ValueAtQuantile(99.9))
-			if own >= 5000*slowdown || due <= 900000 {
-				t.Errorf("p99.9: own error %d µs, want below %d ms; since due %d µs, want above 900 ms", own, 5*slowdown, due)
+			if own >= 5000 || due <= 900000 {
+				t.Errorf("p99.9: own error %d µs, want below 5 ms; since due %d µs, want above 900 ms", own, due)
 			}
 			res.Floor = floor
 			v := res.Verdict()
