Operators' door, marks that outlive a process, and takeover without a lost request

Design: - internal/fleet, Console: net/http with a bounded listener; over the bound the oldest connection goes, since those that bring a call are gone in milliseconds. Rejected: to wait for room, which lets silent callers shut out everybody. - internal/fleet, Marks: what operators have said stands as empty files in the folder that the processes of one sidecar share. One system call puts or takes a mark, so two processes cannot tear each other's word. Rejected: one file with a list, which needs a lock, and telling it over the handover alone, which an upgrade that fails halfway would lose. - An endpoint that is out drains as far as the Balancer knows; one that comes back counts as just started until the list dates it, as its restart may not have been told yet. Decisions stay in the module, which is unchanged. - A drain by hand turns readiness to no, and 0.6 s later lets go of callers between two requests. - internal/fleet, TakeOver: a new process gets the listening socket itself, the list and the names once listed over a Unix socket with SCM_RIGHTS; the old one then leaves new callers to it, and at SIGTERM passes each kept connection on as soon as no request is open there. Rejected: SO_REUSEPORT alone, where the connections in the old queue are reset at its end and kept ones must be closed under their callers; it is set all the same for a folder that cannot be shared. While both run each has half of the limits. A new one that dies gives all back.

cmd/gorselink/platform.go becomes internal/sidecar.

--- a/cmd/gorselink/commands_test.go
+++ b/cmd/gorselink/commands_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"gorselink/internal/sidecar"
 	"io"
 	"net"
 	"net/http"
@@ -19,6 +20,9 @@
 	"gorselink/internal/standin"
 )
 
+// patience bounds every wait of these tests; a sound run needs far less.
+const patience = 20 * time.Second
+
 // screen is an output that can be read while it is written.
 type screen struct {
 	mu  sync.Mutex
@@ -44,7 +48,7 @@
 	var out screen
 	done := make(chan error, 1)
 	go func() {
-		done <- run(&shell{ctx: context.Background(), out: &out, err: io.Discard}, []string{"demo", "--for", "6s", "--rate", "20"}, "")
+		done <- run(&shell{ctx: context.Background(), out: &out, err: io.Discard}, []string{"demo", "--for", "6s", "--rate", "20"}, sidecar.Place{})
 	}()
 	var lines []string
 	for end := time.Now().Add(patience); len(lines) < 2 && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
@@ -130,7 +134,7 @@
 	defer cancel()
 	reload, done := make(chan os.Signal, 1), make(chan error, 1)
 	go func() {
-		done <- run(&shell{ctx: ctx, reload: reload, out: io.Discard}, []string{"serve", "--config", path}, "")
+		done <- run(&shell{ctx: ctx, reload: reload, out: io.Discard}, []string{"serve", "--config", path}, sidecar.Place{})
 	}()
 	by := func(want string) {
 		t.Helper()
@@ -171,7 +175,7 @@
 	check := func(text string) (string, error) {
 		put(t, path, text)
 		var out screen
-		err := run(&shell{ctx: context.Background(), out: &out, err: io.Discard}, []string{"check", path}, "")
+		err := run(&shell{ctx: context.Background(), out: &out, err: io.Discard}, []string{"check", path}, sidecar.Place{})
 		return out.String(), err
 	}
 	const good = "[listeners.l]\naddress = \"127.0.0.1:1\"\n[pools.a]\nnodes_file = \"a.nodes\"\n[[routes]]\npool = \"a\"\n"
@@ -191,15 +195,15 @@
 func TestCommandLine(t *testing.T) {
 	var out screen
 	s := &shell{ctx: context.Background(), out: &out, err: io.Discard}
-	if err := run(s, []string{"version"}, "ignored"); err != nil || !strings.HasPrefix(out.String(), "gorselink ") {
+	if err := run(s, []string{"version"}, sidecar.Place{Config: "ignored"}); err != nil || !strings.HasPrefix(out.String(), "gorselink ") {
 		t.Errorf("version: %q, %v", out.String(), err)
 	}
 	for _, args := range [][]string{{"serve"}, {"nonsense"}, {"check"}, {"demo", "--for", "1h"}, {"demo", "--rate", "0"}, {"serve", "--config", "/nowhere"}} {
-		if err := run(s, args, ""); err == nil {
+		if err := run(s, args, sidecar.Place{}); err == nil {
 			t.Errorf("%v: no error", args)
 		}
 	}
-	if err := run(s, nil, "/nowhere"); err == nil || !strings.Contains(err.Error(), "/nowhere") {
+	if err := run(s, nil, sidecar.Place{Config: "/nowhere"}); err == nil || !strings.Contains(err.Error(), "/nowhere") {
 		t.Errorf("the platform's file: %v", err)
 	}
 }
@@ -214,3 +218,10 @@
 	defer l.Close()
 	return l.Addr().String()
 }
+
+func put(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/cmd/gorselink/load_test.go
+++ b/cmd/gorselink/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"gorselink/internal/sidecar"
 	"io"
 	"net/http"
 	"os"
@@ -37,7 +38,7 @@
 	var out screen
 	err = run(&shell{ctx: context.Background(), out: &out, err: io.Discard}, []string{"load", "--target", n.Addr(), "--shape", "hold 200 500ms", "--arrivals", "even",
 		"--method", "POST", "--host", "donate.example.org", "--path", "/pledge/{n}", "--body", "10", "--keyed", "--class", "pay", "--header", "X-Tenant: acme",
-		"--json", json, "--hgrm", hgrm, "--quiet"}, "")
+		"--json", json, "--hgrm", hgrm, "--quiet"}, sidecar.Place{})
 	var c coded
 	if err != nil && !(errors.As(err, &c) && c.code == exitBottleneck) { // on a busy machine it may have to own up
 		t.Fatal(err)
@@ -76,7 +77,7 @@
 		"retries":     {"--target", "127.0.0.1:1", "--retries", "-1"},
 	} {
 		var out screen
-		if err := run(&shell{ctx: context.Background(), out: &out, err: io.Discard}, append([]string{"load"}, args...), ""); err == nil {
+		if err := run(&shell{ctx: context.Background(), out: &out, err: io.Discard}, append([]string{"load"}, args...), sidecar.Place{}); err == nil {
 			t.Errorf("%s: no error", name)
 		}
 	}
@@ -89,7 +90,7 @@
 	put(t, broken, "{}")
 	for _, path := range []string{broken, filepath.Join(dir, "none.json")} {
 		var out screen
-		err := run(&shell{ctx: context.Background(), out: &out, err: io.Discard}, []string{"load", "compare", path, path}, "")
+		err := run(&shell{ctx: context.Background(), out: &out, err: io.Discard}, []string{"load", "compare", path, path}, sidecar.Place{})
 		if err == nil || !strings.Contains(err.Error(), filepath.Base(path)) {
 			t.Errorf("%s: %v", path, err)
 		}
@@ -110,7 +111,7 @@
 	put(t, trace, "due,path\n0,/a\n0.1,x\n0.2,/c\n")
 	call := func(args ...string) (string, int) {
 		var out, errs screen
-		err := run(&shell{ctx: context.Background(), out: &out, err: &errs}, append([]string{"load", "--quiet"}, args...), "")
+		err := run(&shell{ctx: context.Background(), out: &out, err: &errs}, append([]string{"load", "--quiet"}, args...), sidecar.Place{})
 		var c coded
 		if errors.As(err, &c) {
 			return out.String() + errs.String(), c.code
--- a/cmd/gorselink/main.go
+++ b/cmd/gorselink/main.go
@@ -14,6 +14,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"gorselink/internal/sidecar"
 )
 
 // commands are the subcommands; each has a file of its own.
@@ -41,7 +43,8 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	s := &shell{ctx, reload, os.Stdout, os.Stderr, isTerminal(os.Stdout) && isTerminal(os.Stderr)}
-	if err := run(s, os.Args[1:], os.Getenv("ROUTER_CONFIG")); err != nil {
+	at := sidecar.Place{Config: os.Getenv("ROUTER_CONFIG"), Console: os.Getenv("ROUTER_CONSOLE"), Temp: os.Getenv("TMPDIR")}
+	if err := run(s, os.Args[1:], at); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		code := 1
 		var c coded
@@ -53,9 +56,9 @@
 }
 
 // run does what the arguments say.
-func run(s *shell, args []string, platformFile string) error {
-	if len(args) == 0 && platformFile != "" {
-		if err := platform(s.ctx, platformFile, s.reload); err != nil {
+func run(s *shell, args []string, platform sidecar.Place) error {
+	if len(args) == 0 && platform.Config != "" {
+		if err := sidecar.Run(s.ctx, platform, s.reload); err != nil {
 			return fmt.Errorf("gorselink: %w", err)
 		}
 		return nil
--- a/cmd/gorselink/serve.go
+++ b/cmd/gorselink/serve.go
@@ -86,6 +86,16 @@
 	debug.SetMemoryLimit(int64(float64(cfg.Process.Memory) * heapShare))
 }
 
+const (
+	// heapShare of the memory is the Go runtime's, the rest for the kernel's
+	// socket buffers and for what the runtime overshoots by.
+	heapShare = 0.7
+	// comingTime is how long new connections may still come after SIGTERM.
+	comingTime = 600 * time.Millisecond
+	// windDown is what the last requests get beyond the longest deadline.
+	windDown = 1500 * time.Millisecond
+)
+
 type checkCommand struct {
 	File string `arg:"" type:"path" help:"The configuration file."`
 }
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -2,6 +2,7 @@
 package config
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -31,8 +32,14 @@
 	Tenants     map[string]int
 	Zones       map[string]int
 	DialTimeout time.Duration // a connection that is not up within it never will be
+
+	console string
 }
 
+// Console is where operators call, address:port; fallback unless the file says.
+// It is "" for nowhere.
+func (c *Config) Console(fallback string) string { return cmp.Or(c.console, fallback) }
+
 // LongestDeadline is the longest time that any request is owed an answer in.
 func (c *Config) LongestDeadline() time.Duration {
 	var d time.Duration
@@ -54,6 +61,7 @@
 	Name      string                     `json:"name"`
 	Listen    string                     `json:"listen"`
 	Discovery string                     `json:"discovery"`
+	Console   string                     `json:"console"`
 	Seed      string                     `json:"seed"`
 	Limits    Limits                     `json:"limits"`
 	Known     json.RawMessage            `json:"known"`
@@ -79,7 +87,7 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, err
 	}
-	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits}
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, console: f.Console, Limits: f.Limits}
 	var err error
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: %q, want a hexadecimal number of 64 bits", f.Seed)
@@ -109,7 +117,11 @@
 	case c.Limits.Sockets <= 0:
 		return fmt.Errorf("limits.sockets: %v, want more than 0", c.Limits.Sockets)
 	}
-	for key, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+	addresses := map[string]string{"listen": c.Listen, "discovery": c.Discovery}
+	if c.console != "" {
+		addresses["console"] = c.console
+	}
+	for key, addr := range addresses {
 		if _, err := netip.ParseAddrPort(addr); err != nil {
 			return fmt.Errorf("%s: %q, want address:port", key, addr)
 		}
--- /dev/null
+++ b/internal/fleet/handover.go
@@ -0,0 +1,281 @@
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// The handover is spoken over a Unix socket whose messages keep their bounds
+// (SOCK_SEQPACKET), so that a descriptor stays with what is said of it. The
+// first byte of a message tells its kind.
+const (
+	partMark  = 'p' // from the old process: a part of the state
+	stateMark = 's' // from the old process: its last part, with the listener
+	readyMark = 'r' // from the new process: it serves
+	connMark  = 'c' // from the old process: a caller's connection, and what was read of it
+)
+
+const (
+	socketName = "next"
+
+	// helloTime is what the old process gets to hand over its state: it is
+	// a few milliseconds' work, and a new one that waits for a hung one would
+	// not be ready in its time.
+	helloTime = 1500 * time.Millisecond
+	// passTime bounds the handing over of one connection.
+	passTime = time.Second
+
+	mostPart  = 32 << 10
+	mostState = 4 << 20
+	mostAhead = 16 << 10 // bytes of a connection that have been read already
+)
+
+// Link connects two processes of one sidecar while the new one takes the place
+// of the old one. Either of them sees the other's end as the end of the Link.
+type Link struct {
+	conn *net.UnixConn
+	mu   sync.Mutex // of sending
+	done chan struct{}
+	once sync.Once
+}
+
+func newLink(c *net.UnixConn) *Link { return &Link{conn: c, done: make(chan struct{})} }
+
+// Done is closed once the other side is gone, or Close has been called.
+func (l *Link) Done() <-chan struct{} { return l.done }
+
+// Close ends the Link.
+func (l *Link) Close() {
+	l.once.Do(func() { close(l.done) })
+	l.conn.Close()
+}
+
+// send sends one message, with the descriptor of what it is about, if any.
+func (l *Link) send(kind byte, text []byte, about syscall.Conn, limit time.Duration) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	msg := append([]byte{kind}, text...)
+	l.conn.SetWriteDeadline(time.Now().Add(limit))
+	if about == nil {
+		_, _, err := l.conn.WriteMsgUnix(msg, nil, nil)
+		return err
+	}
+	// The descriptor is sent as it is. What net hands out as a File would be a
+	// copy that blocks, and with it, for both processes, the original.
+	raw, err := about.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var sent error
+	err = raw.Control(func(fd uintptr) {
+		_, _, sent = l.conn.WriteMsgUnix(msg, syscall.UnixRights(int(fd)), nil)
+	})
+	return errors.Join(err, sent)
+}
+
+// receive reads one message.
+func (l *Link) receive(buf []byte) (kind byte, text []byte, about *os.File, err error) {
+	oob := make([]byte, syscall.CmsgSpace(4))
+	n, oobn, _, _, err := l.conn.ReadMsgUnix(buf, oob)
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	if oobn > 0 {
+		if about, err = descriptor(oob[:oobn]); err != nil {
+			return 0, nil, nil, err
+		}
+	}
+	if n == 0 {
+		return 0, nil, about, io.ErrUnexpectedEOF
+	}
+	return buf[0], buf[1:n], about, nil
+}
+
+// descriptor takes the one descriptor out of a control message.
+func descriptor(oob []byte) (*os.File, error) {
+	msgs, err := syscall.ParseSocketControlMessage(oob)
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	var fds []int
+	for i := range msgs {
+		more, err := syscall.ParseUnixRights(&msgs[i])
+		if err != nil {
+			return nil, fmt.Errorf("handover: %w", err)
+		}
+		fds = append(fds, more...)
+	}
+	if len(fds) != 1 {
+		for _, fd := range fds {
+			syscall.Close(fd)
+		}
+		return nil, fmt.Errorf("handover: %d descriptors in a message, want one", len(fds))
+	}
+	// Sockets of the runtime do not block, and os.NewFile keeps that.
+	return os.NewFile(uintptr(fds[0]), "handed over"), nil
+}
+
+// Ready tells the old process that this one serves.
+func (l *Link) Ready() error { return l.send(readyMark, nil, nil, passTime) }
+
+// Pass hands a caller's connection to the new process, and what has been read of
+// it. The connection of this process is still to be closed.
+func (l *Link) Pass(c net.Conn, ahead []byte) error {
+	s, ok := c.(syscall.Conn)
+	if !ok || len(ahead) > mostAhead {
+		return errors.New("handover: not a socket, or too much of it has been read")
+	}
+	return l.send(connMark, ahead, s, passTime)
+}
+
+// Take hands each connection that the old process passes on to take, until the
+// old process is gone. It must be called once, by the new process.
+func (l *Link) Take(take func(c net.Conn, ahead []byte)) {
+	defer l.Close()
+	buf := make([]byte, mostAhead+1)
+	for {
+		kind, ahead, f, err := l.receive(buf)
+		if err != nil {
+			return
+		}
+		if f == nil || kind != connMark {
+			continue
+		}
+		c, err := net.FileConn(f)
+		f.Close()
+		if err == nil {
+			take(c, append([]byte(nil), ahead...))
+		}
+	}
+}
+
+// TakeOver asks the process that serves in the folder dir for its listener and
+// its state, which must be JSON for state. The Link is nil if there is none.
+func TakeOver(dir string, state any) (*Link, net.Listener, error) {
+	c, err := net.DialTimeout("unixpacket", filepath.Join(dir, socketName), helloTime)
+	if err != nil {
+		if errors.Is(err, os.ErrNotExist) || errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, nil, nil // nobody serves there
+		}
+		return nil, nil, fmt.Errorf("handover: %w", err)
+	}
+	l := newLink(c.(*net.UnixConn))
+	l.conn.SetReadDeadline(time.Now().Add(helloTime))
+	listener, err := l.hear(state)
+	if err != nil {
+		l.Close()
+		return nil, nil, fmt.Errorf("handover: %w", err)
+	}
+	l.conn.SetReadDeadline(time.Time{})
+	return l, listener, nil
+}
+
+// hear reads the state to its end.
+func (l *Link) hear(state any) (net.Listener, error) {
+	var text []byte
+	buf := make([]byte, mostPart+1)
+	for {
+		kind, part, f, err := l.receive(buf)
+		if err != nil {
+			return nil, err
+		}
+		text = append(text, part...)
+		if kind == partMark && f == nil && len(text) <= mostState {
+			continue
+		}
+		if kind != stateMark || f == nil {
+			return nil, fmt.Errorf("message %q, want a state with a listener", kind)
+		}
+		defer f.Close()
+		if err := json.Unmarshal(text, state); err != nil {
+			return nil, err
+		}
+		return net.FileListener(f)
+	}
+}
+
+// Successors takes in the processes that are to take this one's place.
+type Successors struct {
+	l *net.UnixListener
+}
+
+// AwaitSuccessor makes this process the one that is found in the folder dir.
+// Each new process is given the listener and the state, one at a time; ready is
+// called once it serves, and Done of the Link tells if it ends again.
+func AwaitSuccessor(dir string, listener net.Listener, state func() any, begins, ready func(*Link)) (*Successors, error) {
+	about, ok := listener.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("handover: the listener is no socket")
+	}
+	path := filepath.Join(dir, socketName)
+	// Beside it first: the old process is found there until the new one is.
+	fresh := fmt.Sprintf("%s.%d", path, os.Getpid())
+	os.Remove(fresh)
+	l, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: fresh, Net: "unixpacket"})
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	l.SetUnlinkOnClose(false) // what is found there may be the next process
+	if err := os.Rename(fresh, path); err != nil {
+		l.Close()
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	s := &Successors{l: l}
+	go s.serve(about, state, begins, ready)
+	return s, nil
+}
+
+// Close ends the waiting for a successor.
+func (s *Successors) Close() { s.l.Close() }
+
+func (s *Successors) serve(about syscall.Conn, state func() any, begins, ready func(*Link)) {
+	for {
+		c, err := s.l.AcceptUnix()
+		if err != nil {
+			return
+		}
+		l := newLink(c)
+		if err := l.tell(state(), about); err != nil {
+			l.Close()
+			continue
+		}
+		begins(l)
+		buf := make([]byte, 16)
+		for {
+			kind, _, f, err := l.receive(buf)
+			if f != nil {
+				f.Close()
+			}
+			if err != nil {
+				break
+			}
+			if kind == readyMark {
+				ready(l)
+			}
+		}
+		l.Close()
+	}
+}
+
+// tell sends the state.
+func (l *Link) tell(state any, about syscall.Conn) error {
+	text, err := json.Marshal(state)
+	if err != nil {
+		return err
+	}
+	for len(text) > mostPart {
+		if err := l.send(partMark, text[:mostPart], nil, helloTime); err != nil {
+			return err
+		}
+		text = text[mostPart:]
+	}
+	return l.send(stateMark, text, about, helloTime)
+}
--- a/internal/front/http/caller.go
+++ b/internal/front/http/caller.go
@@ -85,6 +85,7 @@
 	gone    chan struct{} // closed when the connection is given up for another
 	done    chan struct{} // closed when its descriptor is free
 	rejects int           // in a row
+	resumed bool          // it was another process's, and has brought requests there
 	req     Request       // the one that is being read or is out
 
 	// Of the request that is out.
@@ -136,6 +137,9 @@
 	}()
 	times := &c.callers.times
 	wait, until, end := unproven, c.born.Add(times.Hello), c.born.Add(times.Request)
+	if c.resumed {
+		wait, until = idle, c.born.Add(times.Idle)
+	}
 	for c.await(wait, until) {
 		if wait != unproven {
 			end = time.Now().Add(times.Request)
@@ -160,17 +164,19 @@
 // await waits for the first byte of a request and tells whether it has come.
 func (c *caller) await(st state, until time.Time) bool {
 	for {
-		goesOn, closing := c.move(st, until)
-		if !goesOn {
+		goesOn, ends := c.move(st, until)
+		if !goesOn || c.passOn() {
 			return false
 		}
 		_, err := c.in.Peek(1)
 		if err == nil {
 			return true
 		}
-		if closing || !errors.Is(err, os.ErrDeadlineExceeded) || !c.closing() {
+		if ends || !errors.Is(err, os.ErrDeadlineExceeded) || !c.woken(st) {
 			return false
 		}
+		// Woken by Drain or Ebb before its time, it has one last look, and by
+		// PassOn it goes on elsewhere.
 	}
 }
 
@@ -431,7 +437,7 @@
 
 // give writes an answer and tells whether another request may follow.
 func (c *caller) give(req *Request, a answer, goesOn bool) bool {
-	goesOn = goesOn && !req.Close && req.Minor > 0 && c.in.Buffered() == 0 && !c.closing()
+	goesOn = goesOn && !req.Close && req.Minor > 0 && c.in.Buffered() == 0 && !c.ending()
 	c.conn.SetWriteDeadline(time.Now().Add(unread))
 	return a.write(c.conn, req.Method, goesOn) == nil && goesOn
 }
--- a/internal/front/http/callers.go
+++ b/internal/front/http/callers.go
@@ -3,6 +3,9 @@
 package httpfront
 
 import (
+	"bytes"
+	"io"
+	"log/slog"
 	"net"
 	"sync"
 	"time"
@@ -27,6 +30,8 @@
 	open    int
 	places  [states]ring.List[*caller] // the one longest in that state in front
 	closing bool                       // connections end once no request is open on them
+	ebbing  bool                       // so do those that have brought a request, for now
+	pass    Pass                       // takes connections on which no request is open; nil for none
 	last    time.Time                  // answers are given by then; zero for no bound
 	empty   chan struct{}              // closed when closing and nothing is open
 }
@@ -136,12 +141,8 @@
 func (cs *Callers) Drain(last time.Time) {
 	cs.mu.Lock()
 	cs.closing = true
-	for _, st := range []state{unproven, idle} {
-		for e := cs.places[st].Front(); e != nil; e = cs.places[st].Next(e) {
-			// It wakes, serves what has come already and closes.
-			e.Of.conn.SetReadDeadline(past)
-		}
-	}
+	cs.wake(unproven)
+	cs.wake(idle)
 	cs.tellEmpty()
 	cs.mu.Unlock()
 	select {
@@ -150,6 +151,79 @@
 	}
 }
 
+// Ebb makes connections that have brought a request end once none is open on
+// them, or takes that back. New ones go on being taken, and one that only asks
+// whether the sidecar is ready is answered.
+func (cs *Callers) Ebb(on bool) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.ebbing = on
+	if on {
+		cs.wake(idle)
+	}
+}
+
+// wake makes the connections in a state look what has come already and end; the
+// mutex is held.
+func (cs *Callers) wake(st state) {
+	for e := cs.places[st].Front(); e != nil; e = cs.places[st].Next(e) {
+		e.Of.conn.SetReadDeadline(past)
+	}
+}
+
+// ends tells whether connections in a state are to end; the mutex is held.
+func (cs *Callers) ends(st state) bool {
+	if cs.pass != nil {
+		return false
+	}
+	return st == idle && (cs.closing || cs.ebbing) || st == unproven && cs.closing
+}
+
+// Pass takes a caller's connection over, and what has been read of it already.
+type Pass func(c net.Conn, ahead []byte) error
+
+// PassOn makes each connection go to pass as soon as no request is open on it.
+// What pass does not take stays as it is, and so do all if pass is nil.
+func (cs *Callers) PassOn(pass Pass) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.pass = pass
+	if pass != nil {
+		cs.wake(unproven)
+		cs.wake(idle)
+	}
+}
+
+// passOn gives c, which is between two requests, away if it is to go, and tells
+// whether it has gone.
+func (c *caller) passOn() bool {
+	cs := c.callers
+	cs.mu.Lock()
+	pass := cs.pass
+	cs.mu.Unlock()
+	if pass == nil {
+		return false
+	}
+	ahead, _ := c.in.Peek(c.in.Buffered())
+	if err := pass(c.conn, ahead); err != nil {
+		slog.Warn("callers stay, as they are not taken over", "error", err)
+		cs.PassOn(nil)
+		return false
+	}
+	return true
+}
+
+// Resume serves a connection that another Callers has passed on.
+func (cs *Callers) Resume(nc net.Conn, ahead []byte) {
+	if c := cs.admit(nc); c != nil {
+		if len(ahead) > 0 {
+			c.in.Reset(io.MultiReader(bytes.NewReader(ahead), nc))
+		}
+		c.resumed = true
+		go c.serve()
+	}
+}
+
 // Bound makes all that is taken from now on end by last.
 func (cs *Callers) Bound(last time.Time) {
 	cs.mu.Lock()
@@ -186,21 +260,21 @@
 
 // move changes the state of c and sets until when it may read. It tells whether
 // c goes on, which it does not once it has been given up, and whether
-// connections are to end; then one on which no request is open has lastLook.
-func (c *caller) move(st state, until time.Time) (goesOn, closing bool) {
+// it is to end; then it has lastLook.
+func (c *caller) move(st state, until time.Time) (goesOn, ends bool) {
 	cs := c.callers
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	if !c.placed {
-		return false, cs.closing
+	if ends = cs.ends(st); !c.placed {
+		return false, ends
 	}
-	if cs.closing && (st == unproven || st == idle) {
+	if ends {
 		until = time.Now().Add(lastLook)
 	}
 	c.leave()
 	c.enter(st)
 	c.conn.SetReadDeadline(until)
-	return true, cs.closing
+	return true, ends
 }
 
 // lastLook is how long a connection that is to end is read for a request that
@@ -208,11 +282,18 @@
 // connection was sent is served, not lost.
 const lastLook = 20 * time.Millisecond
 
-// closing tells whether connections are to end.
-func (c *caller) closing() bool {
+// ending tells whether the connection is to end once no request is open on it.
+func (c *caller) ending() bool {
+	c.callers.mu.Lock()
+	defer c.callers.mu.Unlock()
+	return c.callers.ends(idle)
+}
+
+// woken tells whether a wait in the state st may have been cut short.
+func (c *caller) woken(st state) bool {
 	c.callers.mu.Lock()
 	defer c.callers.mu.Unlock()
-	return c.callers.closing
+	return c.callers.ends(st) || c.callers.pass != nil
 }
 
 // end books that c is closed.
--- a/internal/front/http/platform.go
+++ b/internal/front/http/platform.go
@@ -39,6 +39,7 @@
 
 	seen     *IDs
 	draining atomic.Bool
+	away     atomic.Bool
 }
 
 // NewPlatform returns a Platform in front of p. Ids are remembered for two of
@@ -54,9 +55,12 @@
 // Drain makes Ready say no; requests go on being served.
 func (j *Platform) Drain() { j.draining.Store(true) }
 
+// SendAway makes Ready say no, or takes that back; requests go on being served.
+func (j *Platform) SendAway(on bool) { j.away.Store(on) }
+
 // Ready implements Judge.
 func (j *Platform) Ready() int {
-	if !j.Pool.Listed() || j.draining.Load() {
+	if !j.Pool.Listed() || j.draining.Load() || j.away.Load() {
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusOK
--- a/internal/pool/members.go
+++ b/internal/pool/members.go
@@ -164,10 +164,11 @@
 			p.conns.Set(e.Name, upstream.Target{Address: e.Address, Since: e.SinceMs})
 		}
 	}
-	p.balancer.Members(p.now(), kind, entries)
+	p.members(kind, entries)
 	p.listed = p.listed || len(entries) > 0
+	was := p.known
 	if kind == balance.Full || kind == balance.Cached {
-		clear(p.known)
+		p.known = make(map[string]nodes.Endpoint, len(list))
 	}
 	for _, e := range list {
 		if e.Status != nodes.Terminated {
@@ -175,7 +176,14 @@
 			continue
 		}
 		delete(p.known, e.Name)
+		delete(p.entered, e.Name)
 		p.conns.Remove(e.Name)
+		p.remember(e.Name)
+	}
+	for _, name := range slices.Sorted(maps.Keys(was)) {
+		if _, stays := p.known[name]; !stays {
+			p.remember(name)
+		}
 	}
 	if kind == balance.Full || kind == balance.Cached {
 		p.conns.Keep(func(name string) bool { _, ok := p.known[name]; return ok })
@@ -187,15 +195,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := nodes.List{Snapshot: true, Undated: len(p.dates) > 0}
-	for _, name := range slices.Sorted(maps.Keys(p.known)) {
+	for _, name := range p.sorted() {
 		l.Endpoints = append(l.Endpoints, p.known[name])
 	}
 	return l
 }
 
+// sorted is the names of the nodes that are known, in order.
+func (p *Pool) sorted() []string { return slices.Sorted(maps.Keys(p.known)) }
+
 // entry is an endpoint as the Balancer knows it. Its address there is the
 // name, which all sidecars share: the Balancers must agree on the ring.
-func (p *Pool) entry(e *nodes.Endpoint) balance.Endpoint {
+func (p *Pool) entry(listed *nodes.Endpoint) balance.Endpoint {
+	e := p.byHand(*listed)
 	b := balance.Endpoint{Addr: e.Name, Zone: p.zone(e.Zone), Cell: e.Group}
 	switch e.Status {
 	case nodes.InService:
--- /dev/null
+++ b/internal/pool/out.go
@@ -0,0 +1,115 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"gorselink/balance"
+	"gorselink/internal/nodes"
+)
+
+// mostListed bounds the names that Knows remembers of endpoints that are gone:
+// some hundred kilobytes.
+const mostListed = 4096
+
+// Knows tells whether an endpoint has ever been listed, or was known to the
+// process before this one.
+func (p *Pool) Knows(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, known := p.known[name]
+	return known || slices.Contains(p.past, name)
+}
+
+// Names are the endpoints that Knows knows, those gone longest first.
+func (p *Pool) Names() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	names := slices.Clone(p.past)
+	for name := range p.known {
+		names = append(names, name)
+	}
+	slices.Sort(names[len(p.past):])
+	return names
+}
+
+// Remember makes Knows know more names.
+func (p *Pool) Remember(names []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.remember(names...)
+}
+
+func (p *Pool) remember(names ...string) {
+	for _, name := range names {
+		if !slices.Contains(p.past, name) {
+			p.past = append(p.past, name)
+		}
+	}
+	p.past = p.past[max(0, len(p.past)-mostListed):]
+}
+
+// Exclude makes the endpoints of a set be left out, and those of the set before
+// that are not in it be put back. To the Balancer one that is out drains,
+// whatever the list says of it. It holds from the return on; attempts that are
+// out go on.
+//
+// One that comes back counts as started now until the list dates its start
+// later than it went out: an operator takes an endpoint out to restart it, and
+// the news of that may be late. It costs one that was not restarted the time to
+// warm up.
+func (p *Pool) Exclude(out map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	var changed []balance.Endpoint
+	for name := range out {
+		if _, was := p.out[name]; !was {
+			p.out[name] = now.UnixMilli()
+		}
+	}
+	for name, since := range p.out {
+		if !out[name] {
+			delete(p.out, name)
+			p.back[name] = returned{out: since, back: now.UnixMilli()}
+		}
+	}
+	for _, name := range p.sorted() {
+		if e := p.known[name]; p.entered[name] != p.entry(&e) {
+			changed = append(changed, p.entry(&e))
+		}
+	}
+	if len(changed) > 0 {
+		p.members(balance.Delta, changed)
+	}
+	for name, r := range p.back { // the list has dated all by then
+		if now.UnixMilli()-r.back > (p.cfg.Balance.RampTime + time.Minute).Milliseconds() {
+			delete(p.back, name)
+		}
+	}
+}
+
+// returned is when an endpoint went out and came back, in Unix ms.
+type returned struct{ out, back int64 }
+
+// byHand is what the endpoint e is beside what operators have said of it.
+func (p *Pool) byHand(e nodes.Endpoint) nodes.Endpoint {
+	if _, out := p.out[e.Name]; out && e.Status == nodes.InService {
+		e.Status = nodes.Terminating
+	}
+	if r, ok := p.back[e.Name]; ok && e.SinceMs < r.out {
+		e.SinceMs = r.back
+	}
+	return e
+}
+
+// members tells the Balancer of endpoints and books what it was told.
+func (p *Pool) members(kind balance.ListKind, entries []balance.Endpoint) {
+	p.balancer.Members(p.now(), kind, entries)
+	if kind == balance.Full || kind == balance.Cached {
+		clear(p.entered)
+	}
+	for _, e := range entries {
+		p.entered[e.Addr] = e
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -55,7 +55,11 @@
 	retired  bool
 	listed   bool
 	known    map[string]nodes.Endpoint
-	dates    map[string]int64 // since when nodes of undated lists have been there, in Unix ms
+	entered  map[string]balance.Endpoint // of them, as the Balancer was told
+	past     []string                    // names of some that are gone, see Knows
+	out      map[string]int64            // left out by hand, since when in Unix ms
+	back     map[string]returned         // were out, and the list may not have dated their start yet
+	dates    map[string]int64            // since when nodes of undated lists have been there, in Unix ms
 	zones    map[string]int
 	wanted   bool      // a watch was wanted before there was a source
 	sources  []*source // followed: the one that tells and, after Move, the one to take over
@@ -126,6 +130,9 @@
 		requests: map[balance.RequestID]*Request{},
 		classes:  map[balance.Class]int{},
 		known:    map[string]nodes.Endpoint{},
+		entered:  map[string]balance.Endpoint{},
+		out:      map[string]int64{},
+		back:     map[string]returned{},
 		dates:    map[string]int64{},
 		zones:    cfg.Zones,
 	}
--- /dev/null
+++ b/internal/sidecar/operators.go
@@ -0,0 +1,52 @@
+package sidecar
+
+import (
+	"log/slog"
+	"time"
+
+	"gorselink/internal/fleet"
+)
+
+// operated is the sidecar as operators have it.
+type operated struct{ s *Sidecar }
+
+// Ready implements fleet.Operated. A drained sidecar is ready: it can serve, and
+// only tells callers to go elsewhere.
+func (o operated) Ready() bool { return o.s.pool.Listed() }
+
+// Listed implements fleet.Operated.
+func (o operated) Listed(id string) bool { return o.s.pool.Knows(id) || o.s.marks.Said().Out[id] }
+
+// Out implements fleet.Operated.
+func (o operated) Out(id string, out bool) error { return o.s.marks.Out(id, out) }
+
+// Drain implements fleet.Operated.
+func (o operated) Drain(on bool) error { return o.s.marks.Drain(on) }
+
+// heed takes up what operators have said, to this process or another one.
+func (s *Sidecar) heed(said fleet.Said) {
+	s.pool.Exclude(said.Out)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if said.Drained == s.away {
+		return
+	}
+	s.away = said.Drained
+	slog.Info("drained by hand", "on", s.away)
+	s.judge.SendAway(s.away)
+	if s.ebb != nil {
+		s.ebb.Stop()
+	}
+	if !s.away {
+		s.callers.Ebb(false)
+		return
+	}
+	// New connections go on coming until the front has heard of it.
+	s.ebb = time.AfterFunc(comingTime, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.away {
+			s.callers.Ebb(true)
+		}
+	})
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,358 @@
+// Package sidecar is the platform's sidecar: one service behind one listener, by
+// one file, with a door for operators. A new process of the same sidecar takes
+// the place of one that serves without a caller noticing.
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"net/url"
+	"os"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"gorselink/internal/config"
+	"gorselink/internal/fleet"
+	httpfront "gorselink/internal/front/http"
+	"gorselink/internal/nodes"
+	"gorselink/internal/pool"
+	"gorselink/internal/upstream"
+)
+
+const (
+	// heapShare of the memory limit is the Go runtime's; the rest is for the
+	// kernel's socket buffers, which count too, and for what the runtime
+	// overshoots by.
+	heapShare = 0.7
+
+	// largeShare: answers over the protocol's bound may fill one part in so
+	// many of the memory, as request bodies may.
+	largeShare = 8
+	// bodyShare: bodies may fill one part in so many of the memory. Heads,
+	// answers, stacks and garbage need the rest; at 32 MB it is still room
+	// for 64 of the longest bodies.
+	bodyShare = 8
+
+	// comingTime is how long after SIGTERM all goes on as before at the least:
+	// new connections go on coming for 0.4 s. The same holds for a drain by hand.
+	comingTime = 600 * time.Millisecond
+	// windDown is what the last requests get. Until it begins connections stay
+	// as they are, since their callers may have nowhere else to go yet; most
+	// answers come well within it.
+	windDown = 1500 * time.Millisecond
+	// killMargin is how long before SIGKILL could come the process is gone,
+	// of the 0.7 s that it has beyond the longest deadline.
+	killMargin = 200 * time.Millisecond
+	killTime   = 700 * time.Millisecond
+	// answerMargin is what the very last answers have to be written.
+	answerMargin = 50 * time.Millisecond
+)
+
+// Place is where a sidecar finds what it is told.
+type Place struct {
+	Config  string // path of the configuration
+	Console string // address:port for operators, if the configuration names none
+	Temp    string // folder that the processes of this sidecar share; "" for none
+}
+
+// Sidecar is one process of the platform's sidecar.
+type Sidecar struct {
+	place    Place
+	cfg      *config.Config
+	listener net.Listener
+	up       *upstream.Pool
+	pool     *pool.Pool
+	judge    *httpfront.Platform
+	callers  *httpfront.Callers
+	marks    *fleet.Marks
+
+	mu      sync.Mutex
+	away    bool        // drained by hand
+	ebb     *time.Timer // lets go of callers once new ones have ceased to come
+	before  *fleet.Link // to the process whose place this one takes, until it is gone
+	after   *fleet.Link // to the one that takes this one's place
+	serving bool        // after has said that it serves
+	ending  bool        // SIGTERM has come
+}
+
+// Run serves until ctx ends, and then until all that was taken is answered.
+// Each reload reads the configuration again.
+func Run(ctx context.Context, at Place, reload <-chan os.Signal) error {
+	if at.Config == "" {
+		return errors.New("ROUTER_CONFIG: missing")
+	}
+	cfg, err := config.Load(at.Config)
+	if err != nil {
+		return err
+	}
+	s := &Sidecar{place: at, cfg: cfg}
+	return s.run(ctx, reload)
+}
+
+// handed is what a process hands to the one that takes its place.
+type handed struct {
+	Nodes  []nodes.Endpoint `json:"nodes"`  // as they are listed now
+	Listed []string         `json:"listed"` // names that have been listed once
+}
+
+func (s *Sidecar) run(ctx context.Context, reload <-chan os.Signal) error {
+	cfg := s.cfg
+	var console net.Listener
+	var err error
+	if addr := cfg.Console(s.place.Console); addr != "" {
+		if console, err = net.Listen("tcp", addr); err != nil {
+			return fmt.Errorf("console: %w", err)
+		}
+		defer console.Close()
+	}
+	dir := s.folder()
+	var was handed
+	if s.before, s.listener, err = fleet.TakeOver(dir, &was); err != nil {
+		slog.Warn("the process before is not heard", "error", err)
+	}
+	if s.listener == nil {
+		if s.listener, err = listen(cfg.Listen); err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+	} else if len(was.Nodes) > 0 {
+		cfg.Known.Endpoints = was.Nodes // as new as what the old process goes by
+	}
+	defer s.listener.Close()
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
+	s.up = upstream.New(upstream.Config{
+		DialTimeout: cfg.DialTimeout,
+		ConnIdle:    cfg.Balance.ConnIdle,
+		LargeBytes:  s.memory() / largeShare,
+	})
+	defer s.up.Close()
+	s.pool, err = pool.New(pool.Config{
+		Name:    cfg.Name,
+		Seed:    cfg.Seed,
+		Balance: cfg.Balance,
+		Zones:   cfg.Zones,
+		Known:   cfg.Known,
+		Source:  discovery(cfg),
+		Limits:  pool.Limits{BodyBytes: s.memory() / bodyShare},
+	}, s.up)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	s.pool.Remember(was.Listed)
+	s.judge = httpfront.NewPlatform(s.pool, cfg.Classes, cfg.Tenants, cfg.Balance.Classes)
+	s.callers = httpfront.NewCallers(s.judge, 1, httpfront.Times{})
+	s.share()
+	if s.marks, err = fleet.OpenMarks(dir, s.heed); err != nil {
+		slog.Error("what operators say will not outlive the process", "error", err)
+		if s.marks, err = fleet.OpenMarks("", s.heed); err != nil {
+			return err
+		}
+	}
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.marks.Watch(work.Done())
+	go s.pool.Run(work)
+	go s.report(work)
+	if console != nil {
+		door := fleet.NewConsole(operated{s})
+		go door.Serve(fleet.NewBounded(console))
+		defer door.Close()
+	}
+	served := make(chan error, 1)
+	go func() { served <- s.callers.Serve(s.listener) }()
+	if s.before != nil {
+		s.succeed(s.before)
+	}
+	if dir != "" {
+		successors, err := fleet.AwaitSuccessor(dir, s.listener, s.state, s.begins, s.replaced)
+		if err != nil {
+			slog.Warn("no other process can take this one's place unnoticed", "error", err)
+		} else {
+			defer successors.Close()
+		}
+	}
+	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "tier", cfg.Tier, "takes over", s.before != nil)
+	for ctx.Err() == nil {
+		select {
+		case err := <-served:
+			return fmt.Errorf("serve: %w", err)
+		case <-reload:
+			s.reread()
+		case <-ctx.Done():
+		}
+	}
+	s.end()
+	return nil
+}
+
+// folder is the one that the processes of this sidecar share, "" if there is
+// none.
+func (s *Sidecar) folder() string {
+	if s.place.Temp == "" {
+		return ""
+	}
+	dir := filepath.Join(s.place.Temp, "gorselink-"+url.QueryEscape(s.cfg.Name))
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		slog.Error("no folder to share with other processes", "error", err)
+		return ""
+	}
+	return dir
+}
+
+func (s *Sidecar) memory() int64 { return int64(s.cfg.Limits.MemoryMB) << 20 }
+
+// share takes this process's part of the limits: all of them, or half while
+// another process of this sidecar is there as well, as the limits are for both.
+func (s *Sidecar) share() {
+	s.mu.Lock()
+	parts := int64(1)
+	if s.before != nil || s.after != nil {
+		parts = 2
+	}
+	s.mu.Unlock()
+	memory, conns := s.memory()/parts, max(2, s.cfg.Limits.Sockets/int(parts)-config.OwnDescriptors)
+	debug.SetMemoryLimit(int64(float64(memory) * heapShare))
+	s.up.Limit(conns/2, memory/largeShare)
+	s.callers.Limit(conns / 2)
+	s.pool.Limit(pool.Limits{BodyBytes: memory / bodyShare})
+}
+
+// state is what the next process is told.
+func (s *Sidecar) state() any {
+	return handed{Nodes: s.pool.List().Endpoints, Listed: s.pool.Names()}
+}
+
+// succeed takes the place of the process at the other end of l.
+func (s *Sidecar) succeed(l *fleet.Link) {
+	go func() {
+		l.Take(s.callers.Resume)
+		s.mu.Lock()
+		s.before = nil
+		s.mu.Unlock()
+		slog.Info("the process before is gone")
+		s.share()
+	}()
+	go func() {
+		for !s.pool.Listed() { // the list may come from discovery alone
+			select {
+			case <-l.Done():
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+		if err := l.Ready(); err != nil {
+			slog.Warn("the process before is not told", "error", err)
+		}
+	}()
+}
+
+// begins tells that another process is about to take this one's place.
+func (s *Sidecar) begins(l *fleet.Link) {
+	s.mu.Lock()
+	s.after = l
+	s.mu.Unlock()
+	slog.Info("another process begins")
+	s.share()
+	go func() {
+		<-l.Done()
+		s.mu.Lock()
+		s.after, s.serving = nil, false
+		ending := s.ending
+		s.mu.Unlock()
+		if !ending {
+			slog.Warn("the other process is gone, this one serves on")
+			s.share()
+			s.accept(true)
+		}
+	}()
+}
+
+// replaced tells that the next process serves. It takes what is new from here
+// on; what this one has stays until it is told to end, as the other may fail.
+func (s *Sidecar) replaced(*fleet.Link) {
+	s.mu.Lock()
+	s.serving = true
+	s.mu.Unlock()
+	slog.Info("another process serves")
+	s.accept(false)
+}
+
+// accept makes this process take new connections, or leave them to the next one.
+func (s *Sidecar) accept(on bool) {
+	until := time.Unix(1, 0)
+	if on {
+		until = time.Time{}
+	}
+	if l, ok := s.listener.(*net.TCPListener); ok {
+		l.SetDeadline(until)
+	}
+}
+
+// report logs a summary a second while anything happens, until ctx ends.
+func (s *Sidecar) report(ctx context.Context) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			s.pool.Report(now)
+		}
+	}
+}
+
+// discovery is the source that the configuration names.
+func discovery(cfg *config.Config) nodes.Source {
+	wait := nodes.PushWait
+	if cfg.Balance.AskDiscovery {
+		wait = nodes.AskWait
+	}
+	return nodes.NewDiscovery(cfg.Discovery, wait)
+}
+
+// reread takes up what a new configuration says of discovery. One that cannot
+// be read changes nothing: a sidecar that serves by the old one is worth more
+// than none. The rest holds for the life of the process.
+func (s *Sidecar) reread() {
+	cfg, err := config.Load(s.place.Config)
+	if err != nil {
+		slog.Error("reload: the old configuration stands", "error", err)
+		return
+	}
+	slog.Info("reload", "discovery", cfg.Discovery)
+	s.pool.Move(discovery(cfg))
+}
+
+// end serves on until all that was taken is answered, and is over before the
+// kill could come. With a process that has taken this one's place, callers go
+// on there; without one, the front has to hear first that they must not come.
+func (s *Sidecar) end() {
+	s.mu.Lock()
+	s.ending = true
+	next := s.after
+	if !s.serving {
+		next = nil
+	}
+	s.mu.Unlock()
+	last := time.Now().Add(max(s.cfg.LongestDeadline()+killTime-killMargin, comingTime))
+	s.callers.Bound(last.Add(-answerMargin))
+	if next != nil {
+		slog.Info("handing over", "callers", s.callers.Open())
+		s.listener.Close()
+		s.callers.PassOn(next.Pass)
+		s.callers.Drain(last)
+		next.Close()
+		return
+	}
+	slog.Info("draining")
+	s.judge.Drain()
+	time.Sleep(max(comingTime, time.Until(last)-windDown))
+	s.callers.Drain(last)
+}
