Long answers stream to their callers, and bodies up to 1 MiB come at a slow pace

Cause: answers over 1 MiB were turned down as spoilt, bodies over 64 KiB answered with 413, and an answer in small pieces cut off 0.5 s after its first byte.

Design: an answer over 64 KiB is passed on as its endpoint gives it, with back pressure, from the head on where its length is told and from 64 KiB on where its end only shows it; up to there it can be tried again as before. What breaks off breaks at the caller, never with a clean end. A request's body may stop for 2 s and come at 32 KB a second; an answer may stop for 0.5 s at each piece. Rejected: to hold long answers whole in a larger budget, which 64 MB do not have for many of 32 MB at once, and which holds back the first bytes that are timed.

--- a/internal/front/http/answer.go
+++ b/internal/front/http/answer.go
@@ -52,9 +52,10 @@
 	head = append(head, http.StatusText(a.status)...)
 	head = append(head, "\r\n"...)
 	var body []byte
+	var rest *upstream.Rest
 	length := len(a.text)
 	if a.up != nil {
-		body = a.up.Body
+		body, rest = a.up.Body, a.up.Rest
 		length = len(body)
 		if method == http.MethodHead || a.status == http.StatusNotModified {
 			// Its length is that of the body that a GET would bring.
@@ -78,7 +79,18 @@
 	if !keep {
 		head = append(head, "Connection: close\r\n"...)
 	}
-	if a.status != http.StatusNoContent { // which has no length, RFC 9110, section 8.6
+	switch {
+	case rest != nil:
+		if rest.Length >= 0 {
+			head = append(head, "Content-Length: "...)
+			head = strconv.AppendInt(head, rest.Length, 10)
+			head = append(head, "\r\n"...)
+		} else {
+			head = append(head, "Transfer-Encoding: chunked\r\n"...)
+		}
+		*buf = append(head, "\r\n"...)
+		return stream(w, *buf, body, rest)
+	case a.status != http.StatusNoContent: // which has no length, RFC 9110, section 8.6
 		head = append(head, "Content-Length: "...)
 		head = strconv.AppendInt(head, int64(length), 10)
 		head = append(head, "\r\n"...)
--- a/internal/front/http/caller.go
+++ b/internal/front/http/caller.go
@@ -79,7 +79,8 @@
 type caller struct {
 	callers *Callers
 	conn    net.Conn
-	in      *bufio.Reader
+	intake  intake        // reads from conn
+	in      *bufio.Reader // reads from intake
 	look    *sock.Look
 	born    time.Time
 	gone    chan struct{} // closed when the connection is given up for another
@@ -113,13 +114,14 @@
 		callers: cs,
 		conn:    nc,
 		look:    sock.New(nc),
-		in:      bufio.NewReaderSize(nc, framing.MaxHead),
+		intake:  intake{conn: nc},
 		born:    time.Now(),
 		gone:    make(chan struct{}),
 		done:    make(chan struct{}),
 		watched: make(chan bool, 1),
 		reply:   make(chan pool.Answer, 1),
 	}
+	c.in = bufio.NewReaderSize(&c.intake, framing.MaxHead)
 	c.place.Of = c
 	c.watch = time.AfterFunc(time.Hour, c.watchOut)
 	c.watch.Stop()
@@ -223,7 +225,11 @@
 		c.reject(http.StatusExpectationFailed, err)
 		return false, false
 	}
+	if req.Length < 0 || req.Length > int64(c.in.Buffered()) {
+		c.intake.begin()
+	}
 	body, err := readBody(c.in, &req.Head, p.Pool.Bodies(), p.MaxBody)
+	c.intake.end()
 	switch {
 	case errors.Is(err, errBodyLong):
 		c.reject(http.StatusRequestEntityTooLarge, err)
--- a/internal/front/http/callers.go
+++ b/internal/front/http/callers.go
@@ -217,7 +217,7 @@
 func (cs *Callers) Resume(nc net.Conn, ahead []byte) {
 	if c := cs.admit(nc); c != nil {
 		if len(ahead) > 0 {
-			c.in.Reset(io.MultiReader(bytes.NewReader(ahead), nc))
+			c.in.Reset(io.MultiReader(bytes.NewReader(ahead), &c.intake))
 		}
 		c.resumed = true
 		go c.serve()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -130,6 +130,7 @@
 		DialTimeout: cfg.DialTimeout,
 		ConnIdle:    cfg.Balance.ConnIdle,
 		LargeBytes:  s.memory() / largeShare,
+		Stream:      httpfront.PlatformLongest,
 	})
 	defer s.up.Close()
 	s.pool, err = pool.New(pool.Config{
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -29,18 +29,25 @@
 	Once   bool // must not run twice, so a reset cannot be mended
 }
 
-// Answer is an endpoint's answer, whole. Who gets one must release it.
+// Answer is an endpoint's answer, whole but for what Rest still brings. Who gets
+// one must release it.
 type Answer struct {
 	Status int
 	Fields framing.Fields
 	Body   []byte
+	Rest   *Rest // nil if Body is all
 	large  limit.Hold
 }
 
-// Release gives back the memory of an answer that is not needed any more.
+// Release gives back the memory of an answer that is not needed any more, and
+// its connection if the rest of it was still coming.
 func (a *Answer) Release() {
 	a.Body = nil
 	a.large.Release()
+	if a.Rest != nil {
+		a.Rest.close()
+		a.Rest = nil
+	}
 }
 
 const (
@@ -53,10 +60,9 @@
 	// where an endpoint sends rubbish of just such a length.
 	maxLarge = 1 << 20
 
-	// answerTime is what an answer gets from its first byte to its last.
-	// Endpoints write theirs in one go, so one that stops inside is spoilt and
-	// waiting for the rest holds the request up; an endpoint that freezes in
-	// the middle for half a second would be misjudged.
+	// answerTime is how long an answer may stop once it has begun. One that
+	// stops inside is spoilt, and waiting for the rest holds the request up; an
+	// endpoint that freezes in the middle for half a second would be misjudged.
 	answerTime = 500 * time.Millisecond
 
 	// maxInterim is how many interim answers may come first: a few are usual,
@@ -98,6 +104,12 @@
 		return nil, result
 	}
 	a, again, result := c.receive(r, deadline)
+	c.pace = 0
+	if a != nil && a.Rest != nil {
+		call.leave(me)
+		c.SetDeadline(time.Time{})
+		return a, result
+	}
 	if call.leave(me) && result == balance.Timeout && time.Now().Before(deadline) {
 		result = balance.Cancelled
 	}
@@ -222,7 +234,8 @@
 			return nil, err
 		}
 		c.begun = true
-		c.limit(deadline, c.target.pool.cfg.AnswerTime)
+		c.pace, c.until = c.target.pool.cfg.AnswerTime, deadline
+		c.limit(deadline, c.pace)
 		// What cannot become an answer is not waited for.
 		if b, err := c.in.Peek(len(protocol)); err == nil && string(b) != protocol {
 			return nil, spoilt{fmt.Errorf("begins with %q", b)}
@@ -245,6 +258,7 @@
 		if h.Status >= 200 {
 			return h, nil
 		}
+		c.pace = 0
 		c.SetReadDeadline(deadline) // the answer may take its time after an interim one
 	}
 	return nil, spoilt{errors.New("too many interim answers")}
@@ -273,6 +287,11 @@
 	if err != nil {
 		return nil, false, broken(err)
 	}
+	if c.target.pool.cfg.Stream > 0 && c.target.pool.serves(h.Status) && !bodiless(h, r.Method) {
+		if a, again, err := c.begin(h); a != nil || err != nil {
+			return a, again, streamed(err)
+		}
+	}
 	body, large, err := c.body(h, r.Method)
 	again = err == nil && !h.Close && c.in.Buffered() == 0
 	switch {
@@ -345,12 +364,8 @@
 		if err == nil && body.Len() <= most && chunked {
 			err = framing.SkipTrailers(c.in)
 		}
-		var ne net.Error
-		if err != nil && chunked && !errors.As(err, &ne) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			return spoilt{err} // a chunk that cannot be read
-		}
 		if err != nil {
-			return inside(err)
+			return chunkError(err, chunked)
 		}
 		if body.Len() > most {
 			return spoilt{fmt.Errorf("body is over %d bytes", most)}
@@ -369,6 +384,15 @@
 	return body.Bytes(), large, err
 }
 
+// chunkError is what an error inside a body without a length means.
+func chunkError(err error, chunked bool) error {
+	var ne net.Error
+	if chunked && !errors.As(err, &ne) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		return spoilt{err} // a chunk that cannot be read
+	}
+	return inside(err)
+}
+
 // broken is the outcome of an attempt that was sent and got no whole answer.
 // A spoilt answer is the endpoint's error: its process lives, and the request
 // may have run.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -23,6 +23,11 @@
 	place     ring.Link[*conn] // in Pool.idle
 	answer    framing.Head     // the last one; its fields may be held on to
 	look      *sock.Look
+
+	// Of the answer that is coming: each read makes the next one end after pace,
+	// at until at the latest. No pace while it is 0.
+	pace  time.Duration
+	until time.Time
 }
 
 const (
@@ -42,13 +47,23 @@
 	k := &conn{
 		Conn:   c,
 		target: t,
-		in:     bufio.NewReaderSize(c, framing.MaxHead),
 		look:   sock.New(c),
 	}
+	k.in = bufio.NewReaderSize(k, framing.MaxHead)
 	k.place.Of = k
 	return k
 }
 
+// Read implements net.Conn. An answer that comes in small pieces is none that
+// has stopped.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.pace > 0 {
+		c.limit(c.until, c.pace)
+	}
+	return n, err
+}
+
 // quiet tells whether an idle connection still stands and has brought nothing:
 // an endpoint that has closed it shows as an end of file, and stray bytes after
 // an answer would be read as the next one. It guards against resets of
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -24,7 +24,11 @@
 	LargeBytes  int64         // memory for answers over SmallAnswer, all together
 
 	MaxAnswer  int           // bytes of the longest body that is passed on; 0 for 1 MiB
-	AnswerTime time.Duration // from an answer's first byte to its last; 0 for 0.5 s
+	AnswerTime time.Duration // that an answer may stop inside; 0 for 0.5 s
+
+	// Stream is the longest answer that is passed on while it comes, in bytes:
+	// what is over SmallAnswer is not held. 0 for none; then MaxAnswer bounds it.
+	Stream int64
 
 	// AnyStatus makes an answer with a status under 500 a served one, and has
 	// Do return also those from 500 on, with balance.Error. Without it only a
