Long answers are read ahead of slow callers; long bodies have room of their own

Cause: 40 answers of 1 to 3.5 MB at the pace of their callers (6 s) filled the connection tables of the endpoints, which turned others away; the door took that for an overload and refused 13% of a stretch. Bodies over 1 MiB were cut off.

Design: once a write to the caller has taken 20 ms, what is left of an answer of known length is read into memory if there is room for all of it, and the endpoint's connection is free at once. Rejected: room chunk by chunk, as many spools that are half full free no connection. Bodies over 64 KiB have a budget apart from that of short ones.

Half a call to the console does nothing now: a drain was carried out before its body had come, found by the race rounds of its test.

--- a/internal/fleet/console.go
+++ b/internal/fleet/console.go
@@ -56,7 +56,11 @@
 	mux.HandleFunc("POST /endpoints/disable", target(op, true))
 	mux.HandleFunc("POST /endpoints/enable", target(op, false))
 	for path, on := range map[string]bool{"POST /drain": true, "POST /undrain": false} {
-		mux.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) {
+		mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+			if _, err := whole(w, r); err != nil { // half a call is none
+				answer(w, http.StatusBadRequest, err)
+				return
+			}
 			if err := op.Drain(on); err != nil {
 				answer(w, http.StatusInternalServerError, err)
 				return
@@ -82,7 +86,7 @@
 		var call struct {
 			Target string `json:"target"`
 		}
-		text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, consoleBody))
+		text, err := whole(w, r)
 		if err == nil {
 			err = json.Unmarshal(text, &call)
 		}
@@ -104,6 +108,10 @@
 	}
 }
 
+func whole(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	return io.ReadAll(http.MaxBytesReader(w, r.Body, consoleBody))
+}
+
 func answer(w http.ResponseWriter, status int, err error) {
 	text := "ok\n"
 	if err != nil {
--- a/internal/front/http/body.go
+++ b/internal/front/http/body.go
@@ -24,6 +24,20 @@
 type body struct {
 	data []byte
 	room limit.Hold
+	long *limit.Bytes // where room for more than firstChunk is; without any, it is where the first is
+}
+
+// grow makes room for n bytes, which are more than firstChunk.
+func (b *body) grow(n int64) bool {
+	if b.long.Total() == 0 || b.room.Of(b.long) {
+		return b.room.Grow(n)
+	}
+	more, ok := b.long.Reserve(n)
+	if ok {
+		b.room.Release()
+		b.room = more
+	}
+	return ok
 }
 
 // release gives the memory back.
@@ -35,11 +49,15 @@
 	b.room.Release()
 }
 
-// readBody reads the body that the head h tells of to its end. One that is longer than most, or
-// finds no room in the budget, is not read. One that could never find room is
-// too long.
-func readBody(in *bufio.Reader, h *framing.Head, budget *limit.Bytes, most int64) (*body, error) {
-	most = min(most, budget.Total())
+// readBody reads the body that the head h tells of to its end. One that is longer
+// than most, or finds no room, is not read. Short bodies have a budget of their
+// own, which long ones cannot use up. One that could never find room is too long.
+func readBody(in *bufio.Reader, h *framing.Head, short, long *limit.Bytes, most int64) (*body, error) {
+	if long.Total() > 0 {
+		most = min(most, long.Total())
+	} else {
+		most = min(most, short.Total())
+	}
 	n := h.Length
 	switch {
 	case n == 0:
@@ -49,7 +67,11 @@
 	case n < 0: // chunked: how long shows at its end
 		n = min(firstChunk, most)
 	}
-	b := &body{}
+	b := &body{long: long}
+	budget := short
+	if n > firstChunk && long.Total() > 0 {
+		budget = long
+	}
 	var ok bool
 	if b.room, ok = budget.Reserve(n); !ok {
 		return nil, errBodyRoom
@@ -82,7 +104,7 @@
 			into = make([]byte, 1) // one more is too much
 		} else if len(into) == 0 {
 			n = min(2*n, most)
-			if !b.room.Grow(n) {
+			if !b.grow(n) {
 				return errBodyRoom
 			}
 			b.data = append(make([]byte, 0, n), b.data...)
--- a/internal/front/http/caller.go
+++ b/internal/front/http/caller.go
@@ -228,7 +228,7 @@
 	if req.Length < 0 || req.Length > int64(c.in.Buffered()) {
 		c.intake.begin()
 	}
-	body, err := readBody(c.in, &req.Head, p.Pool.Bodies(), p.MaxBody)
+	body, err := readBody(c.in, &req.Head, p.Pool.Bodies(), p.Pool.LongBodies(), p.MaxBody)
 	c.intake.end()
 	switch {
 	case errors.Is(err, errBodyLong):
--- a/internal/front/http/platform.go
+++ b/internal/front/http/platform.go
@@ -24,9 +24,6 @@
 	// a moment before it costs nothing.
 	transit = 20 * time.Millisecond
 
-	// platformHeld is the longest body of a request that is held whole, in bytes.
-	platformHeld = 1 << 20
-
 	// PlatformLongest bounds bodies and answers, in bytes; they go up to 32 MB.
 	PlatformLongest = 33 << 20
 )
@@ -87,7 +84,7 @@
 		return reject(http.StatusNotFound, fmt.Errorf("no class %q", name))
 	}
 	c := &j.Form[class]
-	p := &Plan{Pool: j.Pool, Class: class, Tenant: -1, MaxBody: platformHeld, seen: j.seen}
+	p := &Plan{Pool: j.Pool, Class: class, Tenant: -1, MaxBody: PlatformLongest, seen: j.seen}
 	if err := p.form(req, c); err != nil {
 		return reject(http.StatusBadRequest, err)
 	}
--- a/internal/front/http/rig_test.go
+++ b/internal/front/http/rig_test.go
@@ -40,7 +40,7 @@
 		Zones:   map[string]int{"a": 0},
 		Balance: cfg.Balance,
 		Known:   cfg.Known,
-		Limits:  pool.Limits{BodyBytes: 8 << 20},
+		Limits:  pool.Limits{BodyBytes: 8 << 20, LongBytes: 1 << 20},
 	}, conns)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/front/http/stream.go
+++ b/internal/front/http/stream.go
@@ -16,6 +16,10 @@
 	// restBuffer is the kernel's send buffer under a long answer. Left to itself
 	// it grows to megabytes a connection, out of the process's memory limit.
 	restBuffer = 128 << 10
+
+	// slowWrite is how long a piece takes to be written to a caller that is
+	// slower than most endpoints; what is left is read ahead of it.
+	slowWrite = 20 * time.Millisecond
 )
 
 // stream writes an answer as it comes: its head, what there is of its body, and
@@ -51,9 +55,13 @@
 	for {
 		n, err := rest.Read(*buf)
 		if n > 0 {
+			begun := time.Now()
 			if err := piece(nil, (*buf)[:n]); err != nil {
 				return err
 			}
+			if time.Since(begun) > slowWrite {
+				rest.Spool()
+			}
 		}
 		if err == io.EOF {
 			break
--- /dev/null
+++ b/internal/front/http/stream_test.go
@@ -0,0 +1,219 @@
+package httpfront
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gorselink/internal/nodes"
+	"gorselink/internal/pool"
+	"gorselink/internal/upstream"
+)
+
+// longRig is a sidecar that streams, before an endpoint that h answers for.
+func longRig(t *testing.T, room int64, h http.HandlerFunc) *rig {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	cfg := testConfig()
+	conns := upstream.New(upstream.Config{
+		DialTimeout: time.Second, ConnIdle: cfg.Balance.ConnIdle, MaxConns: 32, LargeBytes: room, Stream: PlatformLongest,
+	})
+	t.Cleanup(conns.Close)
+	cfg.Known.Endpoints = []nodes.Endpoint{{Name: "s-1", Address: srv.Listener.Addr().String(), Zone: "a", Status: nodes.InService}}
+	p, err := pool.New(pool.Config{
+		Name: "test", Zones: map[string]int{"a": 0}, Balance: cfg.Balance, Known: cfg.Known,
+		Limits: pool.Limits{BodyBytes: 8 << 20, LongBytes: 8 << 20},
+	}, conns)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{Pool: p}
+	r.judge = NewPlatform(p, map[string]int{"view": 0, "pay": 1}, nil, cfg.Balance.Classes)
+	r.callers = NewCallers(r.judge, 32, Times{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	r.addr = l.Addr().String()
+	go r.callers.Serve(l)
+	return r
+}
+
+// noise is n bytes that differ from stretch to stretch.
+func noise(n int) []byte {
+	b := make([]byte, n)
+	src := rand.NewChaCha8([32]byte{1})
+	src.Read(b)
+	return b
+}
+
+// A long answer comes whole, with and without a length, to callers quick and
+// slow, with room to read ahead of them and without; its connection is used
+// again, and nothing stays held.
+func TestLongAnswersComeWhole(t *testing.T) {
+	const size = 3<<20 + 17
+	data := noise(size)
+	for _, room := range []int64{0, 8 << 20} {
+		for _, chunked := range []bool{false, true} {
+			for _, slow := range []bool{false, true} {
+				t.Run(fmt.Sprintf("room %d, chunked %t, slow %t", room, chunked, slow), func(t *testing.T) {
+					t.Parallel()
+					r := longRig(t, room, func(w http.ResponseWriter, req *http.Request) {
+						if !chunked {
+							w.Header().Set("Content-Length", fmt.Sprint(size))
+						}
+						w.Write(data)
+					})
+					for range 2 {
+						c := r.dial(t)
+						io.WriteString(c, view(""))
+						resp, err := http.ReadResponse(bufio.NewReaderSize(c, 4<<10), nil)
+						if err != nil || resp.StatusCode != 200 {
+							t.Fatalf("%v, %v", resp, err)
+						}
+						if slow {
+							time.Sleep(300 * time.Millisecond)
+						}
+						sum := sha256.New()
+						n, err := io.Copy(sum, resp.Body)
+						if err != nil || n != size || [32]byte(sum.Sum(nil)) != sha256.Sum256(data) {
+							t.Fatalf("%d bytes, %v, want all %d", n, err, size)
+						}
+					}
+					eventually(t, "one connection that waits for the next", func() bool { return r.Conns().Open() == 1 && r.Pool.Open() == 0 })
+				})
+			}
+		}
+	}
+}
+
+// A slow caller does not hold an endpoint's connection while there is room to
+// read ahead.
+func TestSlowCallerFreesTheEndpoint(t *testing.T) {
+	const size = 6 << 20
+	whole := make(chan struct{}, 1)
+	r := longRig(t, 8<<20, func(w http.ResponseWriter, req *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(size))
+		w.Write(noise(size))
+		w.(http.Flusher).Flush()
+		whole <- struct{}{}
+	})
+	c := r.dial(t)
+	c.(*net.TCPConn).SetReadBuffer(16 << 10)
+	io.WriteString(c, view(""))
+	in := bufio.NewReaderSize(c, 1<<10)
+	// One piece is read, so that the next one is seen to be slow.
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	total := int64(0)
+	deadline := time.After(patience)
+	for done := false; !done; {
+		select {
+		case <-whole:
+			done = true
+		case <-deadline:
+			t.Fatal("the endpoint is held up by its caller")
+		case <-time.After(10 * time.Millisecond):
+			n, _ := io.CopyN(io.Discard, resp.Body, 8<<10)
+			total += n
+		}
+	}
+	if total > size/2 {
+		t.Errorf("the caller had read %d of %d before the endpoint was done", total, size)
+	}
+	n, err := io.Copy(io.Discard, resp.Body)
+	if err != nil || total+n != size {
+		t.Errorf("%d bytes, %v, want %d", total+n, err, size)
+	}
+}
+
+// An answer that breaks off breaks at the caller, and never ends cleanly.
+func TestStreamBreaksAtCaller(t *testing.T) {
+	for _, chunked := range []bool{false, true} {
+		r := longRig(t, 8<<20, func(w http.ResponseWriter, req *http.Request) {
+			if !chunked {
+				w.Header().Set("Content-Length", "3000000")
+			}
+			w.Write(noise(1 << 20))
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		c := r.dial(t)
+		io.WriteString(c, view(""))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n, err := io.Copy(io.Discard, resp.Body); err == nil {
+			t.Errorf("chunked %t: a clean end after %d bytes", chunked, n)
+		}
+		eventually(t, "nothing is held", func() bool { return r.Conns().Open() == 0 && r.Pool.Open() == 0 })
+	}
+}
+
+// A caller that leaves inside a long answer takes all with it, also what is read
+// ahead.
+func TestLeavingInsideALongAnswer(t *testing.T) {
+	r := longRig(t, 8<<20, func(w http.ResponseWriter, req *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(32<<20))
+		w.Write(noise(32 << 20))
+	})
+	for range 3 {
+		c := r.dial(t)
+		io.WriteString(c, view(""))
+		if _, err := io.CopyN(io.Discard, c, 1<<20); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond)
+		c.Close()
+	}
+	eventually(t, "nothing is held", func() bool { return r.Conns().Open() == 0 && r.Pool.Open() == 0 })
+}
+
+// A long body comes at the pace of a slow caller; one that stops is told off.
+func TestSlowBodyIsTaken(t *testing.T) {
+	r := longRig(t, 0, func(w http.ResponseWriter, req *http.Request) {
+		n, _ := io.Copy(io.Discard, req.Body)
+		fmt.Fprint(w, n)
+	})
+	const size = 300 << 10
+	for _, chunked := range []bool{false, true} {
+		t.Run(fmt.Sprintf("chunked %t", chunked), func(t *testing.T) {
+			t.Parallel()
+			c := r.dial(t)
+			if chunked {
+				io.WriteString(c, pay("Transfer-Encoding: chunked\r\n\r\n"))
+			} else {
+				io.WriteString(c, pay(fmt.Sprintf("Content-Length: %d\r\n\r\n", size)))
+			}
+			// 3 s in all, longer than any request may take without a pace.
+			for range 30 {
+				time.Sleep(100 * time.Millisecond)
+				piece := strings.Repeat("b", size/30)
+				if chunked {
+					piece = fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
+				}
+				io.WriteString(c, piece)
+			}
+			if chunked {
+				io.WriteString(c, "0\r\n\r\n")
+			}
+			status, body, err := get(bufio.NewReader(c))
+			if err != nil || status != 200 || body != fmt.Sprint(size) {
+				t.Errorf("%d %q, %v, want 200 with %d", status, body, err, size)
+			}
+		})
+	}
+}
--- a/internal/limit/bytes.go
+++ b/internal/limit/bytes.go
@@ -45,6 +45,12 @@
 	return ok
 }
 
+// Held is how much h holds.
+func (h *Hold) Held() int64 { return h.n }
+
+// Of tells whether h is a part of b.
+func (h *Hold) Of(b *Bytes) bool { return h.from == b }
+
 // Shrink gives back what h holds over n.
 func (h *Hold) Shrink(n int64) {
 	if n < h.n {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -33,6 +33,7 @@
 type Limits struct {
 	Requests  int   // that are open, from the whole request to the written answer; 0 for no bound
 	BodyBytes int64 // memory for request bodies
+	LongBytes int64 // memory for those over 64 KiB; 0 for none of their own
 }
 
 // Pool balances the requests to the nodes of one service.
@@ -41,6 +42,7 @@
 	conns  *upstream.Pool
 	start  time.Time // the Balancer's time 0
 	bodies limit.Bytes
+	long   limit.Bytes
 
 	most  atomic.Int64 // Limits.Requests
 	open  atomic.Int64 // requests taken and not Done
@@ -162,10 +164,15 @@
 // Bodies is the memory for request bodies.
 func (p *Pool) Bodies() *limit.Bytes { return &p.bodies }
 
+// LongBodies is the memory for request bodies over 64 KiB; without a size they
+// share that of the others.
+func (p *Pool) LongBodies() *limit.Bytes { return &p.long }
+
 // Limit changes the limits. What is held beyond them ends by itself.
 func (p *Pool) Limit(l Limits) {
 	p.most.Store(int64(l.Requests))
 	p.bodies.Set(l.BodyBytes)
+	p.long.Set(l.LongBytes)
 }
 
 // Class returns the number of a class, which the Balancer learns of if it is
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -32,9 +32,11 @@
 	// overshoots by.
 	heapShare = 0.7
 
-	// largeShare: answers over the protocol's bound may fill one part in so
-	// many of the memory, as request bodies may.
-	largeShare = 8
+	// largeShare: what is read ahead of long answers may fill one part in so
+	// many of the memory.
+	largeShare = 6
+	// longShare: so may bodies of requests over the protocol's first bound.
+	longShare = 8
 	// bodyShare: bodies may fill one part in so many of the memory. Heads,
 	// answers, stacks and garbage need the rest; at 32 MB it is still room
 	// for 64 of the longest bodies.
@@ -140,7 +142,7 @@
 		Zones:   cfg.Zones,
 		Known:   cfg.Known,
 		Source:  discovery(cfg),
-		Limits:  pool.Limits{BodyBytes: s.memory() / bodyShare},
+		Limits:  bodyLimits(s.memory()),
 	}, s.up)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
@@ -221,7 +223,11 @@
 	debug.SetMemoryLimit(int64(float64(memory) * heapShare))
 	s.up.Limit(conns/2, memory/largeShare)
 	s.callers.Limit(conns / 2)
-	s.pool.Limit(pool.Limits{BodyBytes: memory / bodyShare})
+	s.pool.Limit(bodyLimits(memory))
+}
+
+func bodyLimits(memory int64) pool.Limits {
+	return pool.Limits{BodyBytes: memory / bodyShare, LongBytes: memory / longShare}
 }
 
 // state is what the next process is told.
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -415,5 +415,9 @@
 	if got := call(console, "GET", "/ready", ""); got != 200 {
 		t.Errorf("ready: %d, want 200", got)
 	}
+	time.Sleep(50 * time.Millisecond)
+	if p.marks.Said().Drained {
+		t.Error("half a call has drained the sidecar")
+	}
 	p.finish(t)
 }
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -4,7 +4,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http/httputil"
+	"sync/atomic"
 	"time"
 
 	"gorselink/balance"
@@ -27,6 +29,9 @@
 	chunked bool
 	again   bool // the connection can be used again once all has come
 	done    bool
+	gone    bool        // the connection has been let go of
+	cut     atomic.Bool // nothing more is wanted
+	spool   *spool
 }
 
 // begin begins an answer that is too long to be held. It returns nil if the
@@ -83,6 +88,13 @@
 
 // Read implements io.Reader.
 func (r *Rest) Read(b []byte) (int, error) {
+	if r.spool != nil {
+		return r.spool.read(b)
+	}
+	return r.direct(b)
+}
+
+func (r *Rest) direct(b []byte) (int, error) {
 	if r.done {
 		return 0, io.EOF
 	}
@@ -94,6 +106,9 @@
 		return 0, errors.New("the answer is longer than what is passed on")
 	}
 	r.c.SetReadDeadline(time.Now().Add(restTime))
+	if r.cut.Load() {
+		return 0, net.ErrClosed
+	}
 	n, err := r.in.Read(b[:min(int64(len(b)), r.left)])
 	r.left -= int64(n)
 	if err != io.EOF {
@@ -112,8 +127,20 @@
 	return n, err
 }
 
-// close lets go of the connection.
+// close ends the answer, wherever it is.
 func (r *Rest) close() {
+	if r.spool != nil {
+		r.spool.close()
+	}
+	r.letGo()
+}
+
+// letGo lets go of the connection.
+func (r *Rest) letGo() {
+	if r.gone {
+		return
+	}
+	r.gone = true
 	if r.done && r.again && r.c.in.Buffered() == 0 {
 		r.c.target.pool.giveBack(r.c)
 		return
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -49,8 +49,9 @@
 // Pool holds the connections to all endpoints. Each carries one request at a
 // time; the one used last is used first, so that those not needed go idle.
 type Pool struct {
-	cfg   Config
-	large limit.Bytes
+	cfg    Config
+	large  limit.Bytes
+	chunks chunks // of what is read ahead
 
 	mu      sync.Mutex
 	targets map[string]*target
@@ -168,6 +169,7 @@
 
 // Sweep closes the connections that have been idle for too long.
 func (p *Pool) Sweep(now time.Time) {
+	p.chunks.trim()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep(now)
