SIGHUP takes up new classes and attempts, whole or not at all

Design: Balancer.Retune replaces the settings, classes are added under new numbers and never changed, so that requests under way keep theirs; the front's table of names is replaced in one step. A file has to hold every setting that the last one had (of classes, those that all of them had), attempts and deadlines over 0; it is read whole before anything is touched. Rejected: a new Balancer per reload, which forgets what it has learnt and the cold budgets with it; to take what is good of a file that is broken.

TestRetune: 12 broken files change nothing, then a class more, a stricter one and one less.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -197,12 +197,8 @@
 // its outcome would show a jam only after the clients' whole patience, with
 // every request of that time let in to be late as well.
 func (b *Balancer) noteLate(now time.Duration, r *request) {
-	if r.out == 0 {
-		return
-	}
-	a := &r.attempts[len(r.attempts)-1]
-	if !a.done && !a.late {
-		a.late = true
+	if last := len(r.attempts) - 1; r.out > 0 && !r.attempts[last].done && !r.attempts[last].late {
+		r.attempts[last].late = true
 		b.door.late++
 		b.door.observe(true, b.outTotal, b.aimRate.mean(now))
 	}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -184,12 +184,7 @@
 }
 
 func (r *request) tried(i int) bool {
-	for k := range r.attempts {
-		if r.attempts[k].endpoint == i {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.endpoint == i })
 }
 
 // firstRun is the first attempt that may have run or may still, or nil.
@@ -260,26 +255,35 @@
 	if host == nil {
 		return nil, errors.New("balance: nil Host")
 	}
-	if err := cfg.validate(); err != nil {
-		return nil, err
-	}
 	b := &Balancer{
-		cfg:      cfg,
 		host:     host,
 		rng:      rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		byAddr:   map[string]int{},
 		requests: map[RequestID]*request{},
 	}
-	b.cfg.Classes = nil
 	for _, c := range cfg.Classes {
 		if _, err := b.AddClass(c); err != nil {
 			return nil, err
 		}
 	}
+	if err := b.Retune(cfg); err != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
+// Retune takes up new settings, all or none. Classes stand, and more come with
+// AddClass; so does what has been learnt.
+func (b *Balancer) Retune(cfg Config) error {
+	cfg.Classes = b.cfg.Classes
+	if err := cfg.validate(); err != nil {
+		return err
+	}
+	b.cfg, b.door.quotas = cfg, nil
 	for _, perSecond := range cfg.Tenants {
 		b.door.quotas = append(b.door.quotas, quota{perSecond: perSecond / float64(cfg.Instances)})
 	}
-	return b, nil
+	return nil
 }
 
 // AddClass makes room for one more class of requests and returns its number.
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -34,6 +36,7 @@
 	DialTimeout time.Duration // a connection that is not up within it never will be
 
 	console string
+	values  map[string]string // the settings by path
 }
 
 // Console is where operators call, address:port; fallback unless the file says.
@@ -81,6 +84,58 @@
 	return c, nil
 }
 
+// Reload reads the configuration file at path in the place of old. It must have
+// all the settings that old has; those of old's classes are compared with the
+// settings that all of them have, as classes come and go.
+func Reload(path string, old *Config) (*Config, error) {
+	c, err := Load(path)
+	if err != nil {
+		return nil, err
+	}
+	for _, key := range slices.Sorted(maps.Keys(old.values)) {
+		if _, ok := c.values[key]; !ok && !inClass(key) {
+			return nil, fmt.Errorf("configuration %s: settings.%s: missing", path, key)
+		}
+	}
+	for _, key := range old.classKeys() {
+		for i := range len(c.Balance.Classes) {
+			if at := fmt.Sprintf("%s%d.%s", classList, i, key); !c.has(at) {
+				return nil, fmt.Errorf("configuration %s: settings.%s: missing", path, at)
+			}
+		}
+	}
+	return c, nil
+}
+
+const classList = "RequestClasses."
+
+// inClass tells whether a key is one of a class, or of another list, whose length
+// may change.
+func inClass(key string) bool {
+	for part := range strings.SplitSeq(key, ".") {
+		if part != "" && strings.Trim(part, "0123456789") == "" {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Config) has(key string) bool { _, ok := c.values[key]; return ok }
+
+// classKeys are the keys that all classes have.
+func (c *Config) classKeys() (keys []string) {
+	for _, key := range slices.Sorted(maps.Keys(c.values)) {
+		key, first := strings.CutPrefix(key, classList+"0.")
+		for i := range len(c.Balance.Classes) {
+			first = first && c.has(fmt.Sprintf("%s%d.%s", classList, i, key))
+		}
+		if first {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // Parse reads the text of a configuration file.
 func Parse(text []byte) (*Config, error) {
 	var f file
@@ -138,17 +193,31 @@
 		}
 	}
 	s := wire.NewSettings(values)
+	c.values = values
 	c.Balance = s.Balance()
 	c.Tier = s.Integer("Tier")
 	c.DialTimeout = s.Time("Limits.ConnectTimeoutS")
 	c.Classes = names(s, "RequestClasses", ".Name")
 	c.Tenants = names(s, "Tenants", ".Name")
 	c.Zones = names(s, "Zones", "")
-	for _, path := range []string{"Me", "NInstances", "Zone", "Tier", "Limits.ConnectTimeoutS", "Limits.ConnIdleS", "RequestClasses.count", "Zones.count"} {
+	for _, path := range []string{"Me", "NInstances", "Zone", "Tier", "Limits.ConnectTimeoutS", "Limits.ConnIdleS", "Limits.TryLimit", "RequestClasses.count", "Zones.count"} {
 		if _, ok := values[path]; !ok {
 			s.Fail(path, "a value")
 		}
 	}
+	if c.Balance.AttemptLimit < 1 {
+		s.Fail("Limits.TryLimit", "1 or more")
+	}
+	for i, class := range c.Balance.Classes {
+		for key, value := range map[string]time.Duration{"DeadlineS": class.Deadline, "AimS": class.Aim} {
+			if at := fmt.Sprintf("%s%d.%s", classList, i, key); value <= 0 && (key == "DeadlineS" || c.has(at)) {
+				s.Fail(at, "more than 0")
+			}
+		}
+		if at := fmt.Sprintf("%s%d.Semantics", classList, i); !c.has(at) {
+			s.Fail(at, "a value")
+		}
+	}
 	if c.DialTimeout <= 0 {
 		s.Fail("Limits.ConnectTimeoutS", "more than 0")
 	}
--- a/internal/front/http/caller_test.go
+++ b/internal/front/http/caller_test.go
@@ -69,7 +69,7 @@
 		}
 	}
 	r.Pool = newPool(t, cfg)
-	r.judge = NewPlatform(r.Pool, map[string]int{"view": 0, "pay": 1}, nil, cfg.Balance.Classes)
+	r.judge = NewPlatform(r.Pool, testForm(cfg))
 	r.callers = NewCallers(r.judge, most, Times{})
 	l := listen()
 	r.addr = l.Addr().String()
--- a/internal/front/http/platform.go
+++ b/internal/front/http/platform.go
@@ -32,24 +32,45 @@
 // the first part of the path, the id is the client's and the method follows
 // from the class. The path goes on as it came.
 type Platform struct {
-	Pool    *pool.Pool
-	Classes map[string]int // by the first part of the path
-	Form    []balance.Class
-	Tenants map[string]int // by X-Caller
+	Pool *pool.Pool
 
+	form     atomic.Pointer[Form]
 	seen     *IDs
 	draining atomic.Bool
 	away     atomic.Bool
 }
 
+// Form is what the requests of a platform are judged by.
+type Form struct {
+	Classes map[string]PlatformClass // by the first part of the path
+	Tenants map[string]int           // by X-Caller
+}
+
+// PlatformClass is a class of requests.
+type PlatformClass struct {
+	balance.Class
+	Number int // the pool's
+}
+
 // NewPlatform returns a Platform in front of p. Ids are remembered for two of
 // the longest deadlines.
-func NewPlatform(p *pool.Pool, names, tenants map[string]int, classes []balance.Class) *Platform {
-	longest := time.Duration(0)
-	for i := range classes {
-		longest = max(longest, classes[i].Deadline)
+func NewPlatform(p *pool.Pool, form *Form) *Platform {
+	j := &Platform{Pool: p, seen: NewIDs(form.longest())}
+	j.form.Store(form)
+	return j
+}
+
+// Set makes all requests be judged by form from now on.
+func (j *Platform) Set(form *Form) {
+	j.seen.SetLongest(form.longest())
+	j.form.Store(form)
+}
+
+func (f *Form) longest() (d time.Duration) {
+	for _, c := range f.Classes {
+		d = max(d, c.Deadline)
 	}
-	return &Platform{Pool: p, Classes: names, Form: classes, Tenants: tenants, seen: NewIDs(longest)}
+	return d
 }
 
 // Drain makes Ready say no; requests go on being served.
@@ -77,18 +98,19 @@
 		return reject(http.StatusBadRequest, err)
 	}
 	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	class, ok := j.Classes[name]
+	form := j.form.Load()
+	class, ok := form.Classes[name]
 	// With two slashes the first part would be read as a host, and the path
 	// sent on would not be the one that was judged.
 	if !ok || strings.HasPrefix(req.Target, "//") {
 		return reject(http.StatusNotFound, fmt.Errorf("no class %q", name))
 	}
-	c := &j.Form[class]
-	p := &Plan{Pool: j.Pool, Class: class, Tenant: -1, MaxBody: PlatformLongest, seen: j.seen}
+	c := &class.Class
+	p := &Plan{Pool: j.Pool, Class: class.Number, Tenant: -1, MaxBody: PlatformLongest, seen: j.seen}
 	if err := p.form(req, c); err != nil {
 		return reject(http.StatusBadRequest, err)
 	}
-	if i, ok := j.Tenants[req.Fields.Get("X-Caller")]; ok {
+	if i, ok := form.Tenants[req.Fields.Get("X-Caller")]; ok {
 		p.Tenant = i
 	}
 	p.Out = outgoing(req, uri, host, c.Semantics, 0)
--- a/internal/front/http/stream_test.go
+++ b/internal/front/http/stream_test.go
@@ -37,7 +37,7 @@
 		t.Fatal(err)
 	}
 	r := &rig{Pool: p}
-	r.judge = NewPlatform(p, map[string]int{"view": 0, "pay": 1}, nil, cfg.Balance.Classes)
+	r.judge = NewPlatform(p, testForm(cfg))
 	r.callers = NewCallers(r.judge, 32, Times{})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -191,6 +191,18 @@
 	return i, nil
 }
 
+// Retune gives the Balancer new settings, all or none. Its classes stand; new
+// ones come by Class.
+func (p *Pool) Retune(cfg balance.Config) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.balancer.Retune(cfg); err != nil {
+		return fmt.Errorf("pool %s: %w", p.cfg.Name, err)
+	}
+	p.cfg.Balance = cfg
+	return nil
+}
+
 // Classes is how many classes the Balancer knows, used or not.
 func (p *Pool) Classes() int {
 	p.mu.Lock()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -148,7 +148,11 @@
 		return fmt.Errorf("settings: %w", err)
 	}
 	s.pool.Remember(was.Listed)
-	s.judge = httpfront.NewPlatform(s.pool, cfg.Classes, cfg.Tenants, cfg.Balance.Classes)
+	form, err := s.form(cfg)
+	if err != nil {
+		return err
+	}
+	s.judge = httpfront.NewPlatform(s.pool, form)
 	s.callers = httpfront.NewCallers(s.judge, 1, httpfront.Times{})
 	s.share()
 	if s.marks, err = fleet.OpenMarks(dir, s.heed); err != nil {
@@ -169,7 +173,8 @@
 	}
 	served := make(chan error, 1)
 	go func() { served <- s.callers.Serve(s.listener) }()
-	if s.before != nil {
+	takesOver := s.before != nil
+	if takesOver {
 		s.succeed(s.before)
 	}
 	if dir != "" {
@@ -180,7 +185,7 @@
 			defer successors.Close()
 		}
 	}
-	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "tier", cfg.Tier, "takes over", s.before != nil)
+	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "tier", cfg.Tier, "takes over", takesOver)
 	for ctx.Err() == nil {
 		select {
 		case err := <-served:
@@ -324,31 +329,72 @@
 	return nodes.NewDiscovery(cfg.Discovery, wait)
 }
 
-// reread takes up what a new configuration says of discovery. One that cannot
-// be read changes nothing: a sidecar that serves by the old one is worth more
-// than none. The rest holds for the life of the process.
+// form is how requests are judged by cfg, whose classes the pool learns of.
+func (s *Sidecar) form(cfg *config.Config) (*httpfront.Form, error) {
+	f := &httpfront.Form{Classes: map[string]httpfront.PlatformClass{}, Tenants: cfg.Tenants}
+	for name, i := range cfg.Classes {
+		class := cfg.Balance.Classes[i]
+		number, err := s.pool.Class(class)
+		if err != nil {
+			return nil, err
+		}
+		f.Classes[name] = httpfront.PlatformClass{Class: class, Number: number}
+	}
+	return f, nil
+}
+
+// reread takes up a new configuration whole, or not at all: a sidecar that
+// serves by the old one is worth more than one that serves by half of a new one.
+// Requests that are open keep their class. Addresses and limits hold for the life
+// of the process.
 func (s *Sidecar) reread() {
-	cfg, err := config.Load(s.place.Config)
+	cfg, err := config.Reload(s.place.Config, s.cfg)
+	if err == nil {
+		err = s.retune(cfg)
+	}
 	if err != nil {
 		slog.Error("reload: the old configuration stands", "error", err)
 		return
 	}
-	slog.Info("reload", "discovery", cfg.Discovery)
+	slog.Info("reload", "discovery", cfg.Discovery, "classes", len(cfg.Classes), "attempts", cfg.Balance.AttemptLimit)
 	s.pool.Move(discovery(cfg))
 }
 
+// mostClasses bounds the classes that the Balancer knows, used or not.
+const mostClasses = 1024
+
+func (s *Sidecar) retune(cfg *config.Config) error {
+	if s.pool.Classes() > mostClasses {
+		return fmt.Errorf("over %d classes since the start", mostClasses)
+	}
+	// New classes that nothing leads to change nothing, so that they can come
+	// before what may fail.
+	form, err := s.form(cfg)
+	if err != nil {
+		return err
+	}
+	if err := s.pool.Retune(cfg.Balance); err != nil {
+		return err
+	}
+	s.judge.Set(form)
+	s.mu.Lock()
+	s.cfg = cfg
+	s.mu.Unlock()
+	return nil
+}
+
 // end serves on until all that was taken is answered, and is over before the
 // kill could come. With a process that has taken this one's place, callers go
 // on there; without one, the front has to hear first that they must not come.
 func (s *Sidecar) end() {
 	s.mu.Lock()
 	s.ending = true
-	next := s.after
+	next, longest := s.after, s.cfg.LongestDeadline()
 	if !s.serving {
 		next = nil
 	}
 	s.mu.Unlock()
-	last := time.Now().Add(max(s.cfg.LongestDeadline()+killTime-killMargin, comingTime))
+	last := time.Now().Add(max(longest+killTime-killMargin, comingTime))
 	s.callers.Bound(last.Add(-answerMargin))
 	if next != nil {
 		slog.Info("handing over", "callers", s.callers.Open())
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -421,3 +421,74 @@
 	}
 	p.finish(t)
 }
+
+// A reload takes up classes that come, go and change, and fewer attempts. A file
+// that is empty, cut off, or lacks a key changes nothing at all.
+func TestRetune(t *testing.T) {
+	disc := told(t, "s-1", address(endpoint(t, "first")))
+	listen, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	text := configuration(listen, address(disc))
+	put(t, path, text)
+	p, _ := start(t, path, "")
+	asks := func(method, class string) int {
+		req, _ := http.NewRequest(method, "http://"+listen+"/"+class, nil)
+		req.Header.Set("X-Call-Id", fmt.Sprintf("%016x", lastAsk.Add(1)))
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return 0
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	eventually(t, "an answer", func() bool { return asks("GET", "view") == 200 })
+	if got := asks("POST", "pledge"); got != 404 {
+		t.Fatalf("a class that is not there: %d, want 404", got)
+	}
+	pledge := `,{"Name":"pledge","AimS":1,"DeadlineS":2,"Semantics":"single_shot","Worth":1}`
+	more := strings.Replace(text, `"Worth":1}]`, `"Worth":1}`+pledge+`]`, 1)
+	more = strings.Replace(more, `"TryLimit":3`, `"TryLimit":2`, 1)
+	if more == text {
+		t.Fatal("the texts do not fit")
+	}
+	reload := func(text string) {
+		put(t, path, text)
+		p.reload <- syscall.SIGHUP
+		for len(p.reload) > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	for name, text := range map[string]string{
+		"empty":                  "",
+		"cut off":                more[:len(more)*2/3],
+		"no attempts":            strings.Replace(more, `"TryLimit":2`, `"TryLimit":0`, 1),
+		"attempts missing":       strings.Replace(more, `"TryLimit":2,`, ``, 1),
+		"a deadline of 0":        strings.Replace(more, `"AimS":1,"DeadlineS":2,"Semantics":"single_shot"`, `"AimS":1,"DeadlineS":0,"Semantics":"single_shot"`, 1),
+		"a deadline below 0":     strings.Replace(more, `"DeadlineS":2,"Semantics":"single_shot"`, `"DeadlineS":-1,"Semantics":"single_shot"`, 1),
+		"a deadline missing":     strings.Replace(more, `"DeadlineS":2,"Semantics":"single_shot"`, `"Semantics":"single_shot"`, 1),
+		"semantics missing":      strings.Replace(more, `,"Semantics":"single_shot"`, ``, 1),
+		"the worth missing":      strings.Replace(more, `"single_shot","Worth":1`, `"single_shot"`, 1),
+		"classes missing":        strings.Replace(more, `"RequestClasses"`, `"Other"`, 1),
+		"obligations missing":    strings.Replace(more, `"DrainGraceS":2`, `"Other":2`, 1),
+		"limits as they are not": strings.Replace(more, `"memory_mb":64`, `"memory_mb":0`, 1),
+	} {
+		if text == more {
+			t.Fatalf("%s: the text is whole", name)
+		}
+		reload(text)
+		if got := asks("POST", "pledge"); got != 404 {
+			t.Errorf("%s: %d for a class of a broken file, want 404", name, got)
+		}
+	}
+	reload(more)
+	eventually(t, "the new class", func() bool { return asks("POST", "pledge") == 200 })
+	if got := asks("GET", "pledge"); got != 400 {
+		t.Errorf("GET for a class that must not be repeated: %d, want 400", got)
+	}
+	// The same name with a stricter effect, and one class gone.
+	reload(strings.Replace(strings.Replace(more, `"Semantics":"free"`, `"Semantics":"single_shot"`, 1), pledge, "", 1))
+	eventually(t, "a stricter class", func() bool { return asks("GET", "view") == 400 && asks("POST", "view") == 200 })
+	if got := asks("POST", "pledge"); got != 404 {
+		t.Errorf("a class that is gone: %d, want 404", got)
+	}
+	p.finish(t)
+}
