What was learnt goes to the next process; bodies without room stream to their node

Cause: a new process refused up to half of what came for seconds after a takeover: its Balancer took the first jam for the capacity.

Rejected: to replay what the old Balancer was told, whose draws would have to be the same. A body without room is sent on while it comes: the attempt's time counts from its last byte, it is tried again only until its first unheld byte has been read, and a body that stops has never run. To the Balancer the node's mean is read too high meanwhile; an event of its own for the last byte would be exact, and cost 30 lines of the policy for a rare path. Answers without a length are read ahead as well, piece by piece.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -57,11 +57,8 @@
 // as there were attempts out, one round trip, so that each move shows in what
 // the next one is judged by; moving faster swings between jam and idleness.
 //
-// It falls only on a share that so few outcomes do not show by chance. Two or
-// three late ones of a dozen come of endpoints that freeze or fall silent, of
-// spoilt answers tried again and of the spread of the work as well; refusing
-// what the tier has room for mends none of these. It could hurt a tier that is
-// over its capacity by little.
+// It falls only on a share that so few outcomes do not show by chance: some late
+// ones come of endpoints that freeze as well, which refusing does not mend.
 func (a *admission) observe(congested bool, out int, inAim float64) {
 	a.outcomes++
 	if congested {
@@ -128,9 +125,8 @@
 
 // waited is how long the client has waited in tries before r, as far as its
 // budget shows: most tries come with the same budget, while the last one has
-// what the client's patience leaves, more or less than that. In overload many
-// requests are such repeats, whose aim has passed before they come; serving
-// them first would make the fresh ones late as well.
+// what the client's patience leaves. In overload many requests are such repeats,
+// and serving them first would make the fresh ones late as well.
 func (b *Balancer) waited(r *request) time.Duration {
 	c := &b.classes[r.class]
 	budget := r.deadline - r.arrived
@@ -147,9 +143,8 @@
 }
 
 // value is what serving a request adds to the operators' goal for the work it
-// costs: its worth beside the mean worth and, where the goal also weighs the
-// worst served class, its share of that class. Worth alone would starve the
-// class that is worth least.
+// costs: its worth beside the mean worth and its share of the worst served class,
+// where the goal weighs that. Worth alone would starve the class worth least.
 func (b *Balancer) value(now time.Duration, class, tenant int) float64 {
 	c := &b.classes[class]
 	c.asked++
@@ -193,9 +188,8 @@
 	return result == Overloaded || result == Timeout || result == OK && elapsed > b.cfg.Classes[r.class].Aim
 }
 
-// noteLate tells the door of an attempt that is out past its aim. Waiting for
-// its outcome would show a jam only after the clients' whole patience, with
-// every request of that time let in to be late as well.
+// noteLate tells the door of an attempt that is out past its aim: its outcome would
+// show a jam only after the clients' whole patience.
 func (b *Balancer) noteLate(now time.Duration, r *request) {
 	if last := len(r.attempts) - 1; r.out > 0 && !r.attempts[last].done && !r.attempts[last].late {
 		r.attempts[last].late = true
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -6,9 +6,8 @@
 // same events and seed give the same actions. It is not safe for concurrent
 // use.
 //
-// The rule for an ordinary request is the ratio approach of Küting et al.,
-// "Client-Based Adaptive Load Balancing in Service-Oriented Systems"; see
-// docs/design.md for what was kept and what was changed.
+// The rule for an ordinary request is the ratio approach of Küting et al., "Client-Based
+// Adaptive Load Balancing in Service-Oriented Systems"; see docs/design.md.
 package balance
 
 import (
@@ -83,18 +82,12 @@
 	switch {
 	case len(c.Classes) == 0:
 		return errors.New("balance: Classes: none given")
-	case c.Instances < 1:
-		return fmt.Errorf("balance: Instances: %d, want 1 or more", c.Instances)
+	case min(c.Instances, c.AttemptLimit, c.Multiplex) < 1:
+		return fmt.Errorf("balance: Instances, AttemptLimit, Multiplex: %d, %d, %d, want 1 or more", c.Instances, c.AttemptLimit, c.Multiplex)
 	case c.Index < 0 || c.Index >= c.Instances:
 		return fmt.Errorf("balance: Index: %d, want 0 to Instances-1", c.Index)
-	case c.AttemptLimit < 1:
-		return fmt.Errorf("balance: AttemptLimit: %d, want 1 or more", c.AttemptLimit)
-	case c.Multiplex < 1:
-		return fmt.Errorf("balance: Multiplex: %d, want 1 or more", c.Multiplex)
-	case c.WorstClassWeight < 0 || c.WorstClassWeight > 1:
-		return fmt.Errorf("balance: WorstClassWeight: %v, want 0 to 1", c.WorstClassWeight)
-	case c.ColdShare < 0 || c.ColdShare > 1:
-		return fmt.Errorf("balance: ColdShare: %v, want 0 to 1", c.ColdShare)
+	case min(c.WorstClassWeight, c.ColdShare) < 0 || max(c.WorstClassWeight, c.ColdShare) > 1:
+		return fmt.Errorf("balance: WorstClassWeight, ColdShare: %v, %v, want 0 to 1", c.WorstClassWeight, c.ColdShare)
 	case c.RampTime < 0 || c.OverloadFor < 0:
 		return errors.New("balance: RampTime and OverloadFor: want 0 or more")
 	case c.AskDiscovery && c.AskWithin <= 0:
@@ -103,12 +96,10 @@
 	return nil
 }
 
-// Host carries out a Balancer's actions. Its methods must not call back into
-// the Balancer.
+// Host carries out a Balancer's actions. Its methods must not call back.
 type Host interface {
-	// Send starts the request's next attempt; attempts count from 0. The
-	// time-out is all that the request has left: servers go on with work that
-	// nobody waits for, so a short time-out doubles the load when it is high.
+	// Send starts the request's next attempt; attempts count from 0. The time-out
+	// is all that is left: a shorter one doubles the load when it is high.
 	Send(id RequestID, addr string, timeout time.Duration)
 	// Refuse ends the request, telling the client that a repeat is harmless.
 	Refuse(id RequestID, retryAfter time.Duration)
@@ -189,10 +180,8 @@
 
 // firstRun is the first attempt that may have run or may still, or nil.
 func (r *request) firstRun() *attempt {
-	for k := range r.attempts {
-		if a := &r.attempts[k]; !a.neverRan {
-			return a
-		}
+	if k := slices.IndexFunc(r.attempts, func(a attempt) bool { return !a.neverRan }); k >= 0 {
+		return &r.attempts[k]
 	}
 	return nil
 }
@@ -286,6 +275,47 @@
 	return nil
 }
 
+// Learnt is what is known of a class or an endpoint: its mean in seconds, of how
+// many samples, and its failures.
+type Learnt struct{ Mean, N, Failures float64 }
+
+// Memory is what a Balancer has learnt, for one that goes on in its place.
+type Memory struct {
+	Limit, Served, InAim float64
+	Classes              []Learnt
+	Endpoints            map[string]Learnt
+}
+
+// Memory tells what has been learnt by now.
+func (b *Balancer) Memory(now time.Duration) Memory {
+	m := Memory{b.door.limit, b.servedRate.mean(now), b.aimRate.mean(now), nil, map[string]Learnt{}}
+	for i := range b.classes {
+		m.Classes = append(m.Classes, Learnt{Mean: b.classes[i].mean, N: b.classes[i].n})
+	}
+	for addr, i := range b.byAddr {
+		e := &b.eps[i]
+		m.Endpoints[addr] = Learnt{e.sum / max(1, float64(e.n)), float64(e.n), e.failures.count(now)}
+	}
+	return m
+}
+
+// Recall takes up what another Balancer has learnt, as far as it knows of it.
+func (b *Balancer) Recall(now time.Duration, m Memory) {
+	b.door.limit = m.Limit
+	b.servedRate, b.aimRate = rateOf(now, m.Served), rateOf(now, m.InAim)
+	for i := range b.classes[:min(len(b.classes), len(m.Classes))] {
+		b.classes[i].mean, b.classes[i].n = m.Classes[i].Mean, m.Classes[i].N
+	}
+	for addr, l := range m.Endpoints {
+		if i, ok := b.byAddr[addr]; ok {
+			for range min(int(l.N), windowSize) {
+				b.eps[i].addSample(l.Mean)
+			}
+			b.eps[i].failures.add(now, l.Failures)
+		}
+	}
+}
+
 // AddClass makes room for one more class of requests and returns its number.
 // What has been learnt of the others, and of the endpoints, stands.
 func (b *Balancer) AddClass(c Class) (int, error) {
@@ -357,13 +387,6 @@
 	return 1 + b.cfg.CrossZonePrice*crossingWeight
 }
 
-// hashAddr places an endpoint on the ring; all balancers agree on it.
-func hashAddr(addr string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(addr))
-	return h.Sum64()
-}
-
 func (b *Balancer) member(now time.Duration, entry Endpoint) {
 	i, ok := b.byAddr[entry.Addr]
 	if !ok {
@@ -377,7 +400,9 @@
 			b.eps = append(b.eps, endpoint{})
 		}
 		b.byAddr[entry.Addr] = i
-		b.eps[i] = endpoint{Endpoint: entry, hash: hashAddr(entry.Addr), flights: b.eps[i].flights[:0]}
+		h := fnv.New64a() // its place on the ring, on which all balancers agree
+		h.Write([]byte(entry.Addr))
+		b.eps[i] = endpoint{Endpoint: entry, hash: h.Sum64(), flights: b.eps[i].flights[:0]}
 		b.eps[i].restart(now, b.rng.Float64())
 		return
 	}
@@ -389,14 +414,11 @@
 	e.Endpoint = entry
 }
 
-// goneMemory is how long an endpoint that has left the list is remembered: one
-// that a hiccup of discovery drops comes back well within it.
-const goneMemory = 30 * time.Second
+const goneMemory = 30 * time.Second // what a hiccup of discovery drops comes back well within it
 
-// forget frees the places of endpoints that are gone for good. It guards
-// against a list of ever new ids, which each pass would walk for as long as
-// the process lives. A place is used again only when no request that has an
-// attempt there is left, so that no late outcome is booked with a stranger.
+// forget frees the places of endpoints that are gone for good, against a list of
+// ever new ids. A place is used again only when no request that has an attempt
+// there is left, so that no late outcome is booked with a stranger.
 func (b *Balancer) forget(now time.Duration) {
 	for i := range b.eps {
 		e := &b.eps[i]
@@ -408,8 +430,7 @@
 	}
 }
 
-// watchLater asks for the list after a spread-out delay that doubles with
-// each failure: all instances asking at once would drown discovery.
+// watchLater asks for the list after a spread-out delay that doubles each time.
 func (b *Balancer) watchLater() {
 	if b.watchDue {
 		return
@@ -478,8 +499,7 @@
 }
 
 // tooSlow tells that the time left is hopelessly short of the chosen endpoint's
-// mean. More than a third of all calls take less than half of it, and a client
-// in a hurry comes back with less; it could hurt by work that ends unserved.
+// mean. Over a third of all calls take less than half of it.
 func (b *Balancer) tooSlow(r *request, i int, now time.Duration) bool {
 	return b.eps[i].mean(now)*b.ratio(r.class)/2 > (r.deadline - now).Seconds()
 }
@@ -539,8 +559,7 @@
 	return true
 }
 
-// refuse is the one gate for refusals: only while no attempt may have run, or
-// where a repeat is harmless anywhere.
+// refuse is the one gate for refusals: while a repeat is harmless anywhere.
 func (b *Balancer) refuse(r *request, now time.Duration) bool {
 	c := &b.cfg.Classes[r.class]
 	harmless := c.Semantics == Safe || c.Semantics == Keyed && c.Scope == ScopeAll || r.firstRun() == nil
@@ -553,8 +572,7 @@
 }
 
 // comeBack is when a refused client may find room: once about a quarter of what
-// is out has ended, by Little's law. It is spread, so that those refused
-// together do not come together. After a whole round trip they miss their aim.
+// is out has ended (Little's law), spread so that they do not come together.
 func (b *Balancer) comeBack(r *request, now time.Duration) time.Duration {
 	roundTrip := float64(b.outTotal) / max(b.servedRate.mean(now), 1)
 	after := time.Duration(roundTrip / 4 * (0.5 + b.rng.Float64()) * float64(time.Second))
@@ -626,8 +644,7 @@
 	if r.out > 0 {
 		return
 	}
-	// Out of budget: what never ran waits its turn, which slows the callers
-	// above instead of multiplying attempts in a tier that is full.
+	// Out of budget: what never ran waits its turn, which slows the callers above.
 	delay := retryDelay << min(len(r.attempts), 5)
 	delay += time.Duration(b.rng.Float64() * float64(delay))
 	if !result.neverRan() || now+delay-r.arrived > b.patience(r) {
@@ -637,12 +654,10 @@
 	b.host.After(delay, uint64(r.id)<<timerBits|timerHeld)
 }
 
-// retryDelay is the first wait of a request that was turned away, doubled
-// with each attempt: about the time a queue slot takes to come free.
-const retryDelay = 10 * time.Millisecond
+// retryDelay is the first wait of a request that was turned away, doubled each time.
+const retryDelay = 10 * time.Millisecond // about what a queue slot takes to come free
 
-// patience is how long a request is kept for a further try before refusing
-// it tells the client more.
+// patience is how long a request is kept for a further try.
 func (b *Balancer) patience(r *request) time.Duration {
 	return min(b.cfg.Classes[r.class].Aim, r.deadline-r.arrived) / 2
 }
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -59,9 +59,8 @@
 	return max(e.peaks[0], e.peaks[1])
 }
 
-// connectable guards against a server that accepts no more connections, or is
-// cut off: after a ConnectError only open connections are used for a while.
-// A refused connection adds no time, so its mean would go on drawing requests.
+// connectable tells whether e takes connections. After a ConnectError, which adds no
+// time to the mean, only open ones are used for a while.
 func (b *Balancer) connectable(e *endpoint, now time.Duration) bool {
 	return now-e.noConnAt >= e.noConnFor || (len(e.flights)+1) <= e.open(now, b.cfg.ConnIdle)*max(b.cfg.Multiplex, 1)
 }
@@ -124,10 +123,8 @@
 	f.n, f.at = min(f.count(now)+n, failureMost), now
 }
 
-// served halves the count. Were it cleared, an endpoint that fails three of four
-// calls, and those at once, would have its whole share back with each fourth:
-// it guards against endpoints that are sick rather than down. One that is sound
-// again has its share back after a few calls.
+// served halves the count. Were it cleared, an endpoint that is sick rather than
+// down, and fails three of four calls at once, would win back all each time.
 func (f *failures) served(now time.Duration) {
 	f.n, f.at = f.count(now)/2, now
 }
@@ -145,9 +142,8 @@
 	return 1 / (n * n)
 }
 
-// mean is t_i, 0 while nothing is known. An attempt that has been out for
-// longer than the mean counts at its age: without this a server that fell
-// silent or stalls keeps its old, good mean until the first time-out.
+// mean is t_i, 0 while nothing is known. An attempt that has been out for longer
+// counts at its age, or a server that fell silent kept its good mean till a time-out.
 func (e *endpoint) mean(now time.Duration) float64 {
 	sum, n := e.sum, float64(e.n)
 	known := 0.0
@@ -193,12 +189,10 @@
 }
 
 // coldAllowed tells whether the cold budget of e has room for one more send,
-// having topped it up. The budget grows at the even share of this balancer's
-// own served attempts that e would get by its present capacity; attempts that
-// were turned away say nothing of what servers can take. As each balancer keeps
-// to that, all of them together load e no more than they load a warm endpoint
-// for its capacity, however many they are. It guards against pushing over a
-// server that has just started (rule 4).
+// having topped it up. It grows at the even share of this balancer's own served
+// attempts that e would get by its present capacity. As each balancer keeps to
+// that, all together load e no more than a warm endpoint for its capacity, however
+// many they are: a server that has just started is not pushed over (rule 4).
 func (b *Balancer) coldAllowed(e *endpoint, now time.Duration) bool {
 	g := b.growth(e, now)
 	if g == 1 {
@@ -273,11 +267,10 @@
 // with a fifth of it lost.
 const subsetMin = 10
 
-// subsetSize is how many sound endpoints this balancer draws from. A caller
-// with a thin stream beside a large fleet would open a connection to every
-// server, use each too seldom to keep it and know each too little. It draws
-// from a stretch of the ring of endpoints that is its own, as long as its
-// attempts out at once, so that each carries about one; a burst widens it.
+// subsetSize is how many sound endpoints this balancer draws from. A thin stream
+// beside a large fleet would use each connection too seldom to keep it and know
+// each server too little. It draws from a stretch of the ring that is its own, as
+// long as its attempts out at once; a burst widens it.
 func (b *Balancer) subsetSize(now time.Duration) int {
 	w := math.Exp(-float64(now-b.outAt) / float64(rateSpan))
 	b.outMean = b.outMean*w + float64(b.outTotal)*(1-w)
@@ -289,9 +282,8 @@
 // longer single servers.
 const zoneSuspect = 3
 
-// zoneFailures counts what failed in a zone since anything there was served.
-// It guards against a zone that is cut off: each of its endpoints would have
-// to fail by itself before the draws leave it.
+// zoneFailures counts what failed in a zone since anything there was served: each
+// endpoint of one that is cut off would have to fail before the draws leave it.
 func (b *Balancer) zoneFailures(zone int) *failures {
 	for zone >= len(b.zones) {
 		b.zones = append(b.zones, failures{})
@@ -299,17 +291,16 @@
 	return &b.zones[zone]
 }
 
-// crowding guards against herding: attempts sent since an endpoint's last
-// round trip show in no mean yet. Where more of ours are out at e than at the
-// average endpoint of the subset, its mean grows by that ratio; elsewhere it is 1.
+// crowding guards against herding, as what was sent since an endpoint's last round
+// trip shows in no mean yet: where more of ours are out at e than on average in the
+// subset, its mean grows by that ratio.
 func (b *Balancer) crowding(e *endpoint, among int) float64 {
 	even := float64(b.outTotal) / float64(among)
 	return max(1, (1+float64(len(e.flights)))/(1+even))
 }
 
 // crossingWeight turns the price of a crossing into time: at one point in a
-// hundred an endpoint of another zone reads twice as slow. It acts only where
-// crossings are priced; a crowded or slow own zone still spills over.
+// hundred an endpoint of another zone reads twice as slow.
 const crossingWeight = 100
 
 // gatherFrom adds the candidates of one part of the ring, from this balancer's
@@ -358,6 +349,11 @@
 
 const rateSpan = 4 * time.Second // long enough to average a bursty second, short enough to follow a surge
 
+// rateOf is a rate that has had this mean for long.
+func rateOf(now time.Duration, mean float64) rate {
+	return rate{mean * rateSpan.Seconds(), now - 10*rateSpan, now}
+}
+
 func (r *rate) add(now time.Duration, x float64) {
 	if r.sum == 0 {
 		r.start, r.at = now, now
--- a/internal/front/http/body.go
+++ b/internal/front/http/body.go
@@ -20,9 +20,11 @@
 // grows to twice as much, and again, up to what is allowed.
 const firstChunk = 64 << 10
 
-// body is a whole request body; nil if there is none.
+// body is the body of a request: whole, or with a rest that is still to come and
+// finds no room; nil if there is none.
 type body struct {
 	data []byte
+	rest io.Reader // ends with io.EOF after the last byte of the body
 	room limit.Hold
 	long *limit.Bytes // where room for more than firstChunk is; without any, it is where the first is
 }
@@ -49,14 +51,27 @@
 	b.room.Release()
 }
 
-// readBody reads the body that the head h tells of to its end. One that is longer
-// than most, or finds no room, is not read. Short bodies have a budget of their
-// own, which long ones cannot use up. One that could never find room is too long.
-func readBody(in *bufio.Reader, h *framing.Head, short, long *limit.Bytes, most int64) (*body, error) {
-	if long.Total() > 0 {
-		most = min(most, long.Total())
-	} else {
-		most = min(most, short.Total())
+// room is where bodies are held.
+type room struct {
+	short, long *limit.Bytes // long is for those over firstChunk, and may have no size
+	streams     bool         // what finds no room is to be sent on while it comes
+}
+
+// most is the longest body that can be held.
+func (r *room) most() int64 {
+	if r.long.Total() > 0 {
+		return r.long.Total()
+	}
+	return r.short.Total()
+}
+
+// readBody reads the body that the head h tells of, to its end if there is room.
+// One that is longer than most is not read. Short bodies have room of their own,
+// which long ones cannot use up. Where nothing streams, one that could never find
+// room is too long.
+func readBody(in *bufio.Reader, h *framing.Head, at room, most int64) (*body, error) {
+	if !at.streams {
+		most = min(most, at.most())
 	}
 	n := h.Length
 	switch {
@@ -67,14 +82,18 @@
 	case n < 0: // chunked: how long shows at its end
 		n = min(firstChunk, most)
 	}
-	b := &body{long: long}
-	budget := short
-	if n > firstChunk && long.Total() > 0 {
-		budget = long
+	b := &body{long: at.long}
+	budget := at.short
+	if n > firstChunk && at.long.Total() > 0 {
+		budget = at.long
 	}
 	var ok bool
 	if b.room, ok = budget.Reserve(n); !ok {
-		return nil, errBodyRoom
+		if !at.streams {
+			return nil, errBodyRoom
+		}
+		b.rest = &restOf{in: in, h: h, most: most}
+		return b, nil
 	}
 	var err error
 	if h.Length > 0 {
@@ -83,9 +102,7 @@
 			err = fmt.Errorf("body: %w", err)
 		}
 	} else {
-		if err = b.readChunks(httputil.NewChunkedReader(in), n, most); err == nil {
-			err = framing.SkipTrailers(in)
-		}
+		err = b.readChunks(&restOf{in: in, h: h, most: most}, n, at.streams)
 	}
 	if err != nil {
 		b.release()
@@ -96,30 +113,73 @@
 }
 
 // readChunks reads to the end of in, with room for n bytes at first.
-func (b *body) readChunks(in io.Reader, n, most int64) error {
+func (b *body) readChunks(in *restOf, n int64, streams bool) error {
 	b.data = make([]byte, 0, n)
 	for {
 		into := b.data[len(b.data):n]
-		if len(into) == 0 && n == most {
-			into = make([]byte, 1) // one more is too much
-		} else if len(into) == 0 {
-			n = min(2*n, most)
-			if !b.grow(n) {
+		if len(into) == 0 {
+			if n == in.most {
+				into = make([]byte, 1) // one more is too much
+			} else if more := min(2*n, in.most); b.grow(more) {
+				n = more
+				b.data = append(make([]byte, 0, n), b.data...)
+				continue
+			} else if streams {
+				b.rest = in
+				return nil
+			} else {
 				return errBodyRoom
 			}
-			b.data = append(make([]byte, 0, n), b.data...)
-			continue
 		}
 		k, err := in.Read(into)
-		if int64(len(b.data)+k) > most {
-			return fmt.Errorf("%w: over %d bytes", errBodyLong, most)
+		if err == nil || err == io.EOF {
+			b.data = b.data[:len(b.data)+k]
 		}
-		b.data = b.data[:len(b.data)+k]
 		if err == io.EOF {
 			return nil
 		}
 		if err != nil {
-			return fmt.Errorf("body: %w", err)
+			return err
+		}
+	}
+}
+
+// restOf reads a body that the head h tells of as it comes.
+type restOf struct {
+	in     *bufio.Reader
+	h      *framing.Head
+	most   int64
+	chunks io.Reader
+	got    int64
+}
+
+// Read implements io.Reader.
+func (r *restOf) Read(b []byte) (n int, err error) {
+	if r.h.Length > 0 {
+		if r.got == r.h.Length {
+			return 0, io.EOF
+		}
+		n, err = r.in.Read(b[:min(int64(len(b)), r.h.Length-r.got)])
+		r.got += int64(n)
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+	} else {
+		if r.chunks == nil {
+			r.chunks = httputil.NewChunkedReader(r.in)
 		}
+		n, err = r.chunks.Read(b)
+		if r.got += int64(n); r.got > r.most {
+			return 0, fmt.Errorf("%w: over %d bytes", errBodyLong, r.most)
+		}
+		if err == io.EOF {
+			if err = framing.SkipTrailers(r.in); err == nil {
+				return n, io.EOF
+			}
+		}
+	}
+	if err != nil {
+		err = fmt.Errorf("body: %w", err)
 	}
+	return n, err
 }
--- a/internal/front/http/caller.go
+++ b/internal/front/http/caller.go
@@ -18,6 +18,7 @@
 	"gorselink/internal/pool"
 	"gorselink/internal/ring"
 	"gorselink/internal/sock"
+	"gorselink/internal/upstream"
 )
 
 // Times bound how long a connection may do nothing. The zero value has the
@@ -228,31 +229,39 @@
 	if req.Length < 0 || req.Length > int64(c.in.Buffered()) {
 		c.intake.begin()
 	}
-	body, err := readBody(c.in, &req.Head, p.Pool.Bodies(), p.Pool.LongBodies(), p.MaxBody)
+	body, err := readBody(c.in, &req.Head, room{p.Pool.Bodies(), p.Pool.LongBodies(), p.Pool.Streams()}, p.MaxBody)
+	if err != nil {
+		c.intake.end()
+		c.rejectBody(err)
+		return false, false
+	}
+	if body != nil && body.rest != nil {
+		return c.carry(req, p, body)
+	}
 	c.intake.end()
+	if c.in.Buffered() > 0 {
+		// Callers send one request at a time. What comes all at once is a
+		// burst, or stood hidden behind the body of the first.
+		body.release()
+		c.reject(http.StatusBadRequest, errors.New("bytes behind the request"))
+		return false, false
+	}
+	return c.carry(req, p, body)
+}
+
+// rejectBody answers a request whose body could not be read.
+func (c *caller) rejectBody(err error) {
 	switch {
 	case errors.Is(err, errBodyLong):
 		c.reject(http.StatusRequestEntityTooLarge, err)
-		return false, false
 	case errors.Is(err, errBodyRoom):
 		// Nothing has been sent for it, so trying again is harmless.
 		c.reject(http.StatusServiceUnavailable, err)
-		return false, false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.reject(http.StatusRequestTimeout, errors.New("the body did not come in time"))
-		return false, false
-	case err != nil:
+	default:
 		c.reject(http.StatusBadRequest, err)
-		return false, false
 	}
-	if c.in.Buffered() > 0 {
-		// Callers send one request at a time. What comes all at once is a
-		// burst, or stood hidden behind the body of the first.
-		body.release()
-		c.reject(http.StatusBadRequest, errors.New("bytes behind the request"))
-		return false, false
-	}
-	return c.carry(req, p, body)
 }
 
 // full answers a request to a pool that has no room for it, at once: whoever
@@ -300,6 +309,9 @@
 	}
 	defer p.Pool.Done(r)
 	c.rejects = 0
+	if r.Out.Upload != nil {
+		return true, c.upload(req, p, r)
+	}
 	c.pool, c.request = p.Pool, r
 	c.watch.Reset(watchAfter)
 	p.Pool.Attempt(r)
@@ -324,6 +336,33 @@
 	return true, goesOn
 }
 
+// upload carries a request whose body is sent on while it comes, and tells
+// whether another may follow on the connection.
+func (c *caller) upload(req *Request, p *Plan, r *pool.Request) (goesOn bool) {
+	u := r.Out.Upload
+	p.Pool.Attempt(r)
+	a := <-r.Answer()
+	<-u.Over // an attempt may still read from the caller
+	c.intake.end()
+	if a.Up != nil {
+		defer a.Up.Release()
+	}
+	switch err := u.Err(); {
+	case err != nil:
+		c.rejectBody(err)
+		return false
+	case !u.Whole(): // its node gave it up, or there was none
+		c.rejectWith(answerOf(a, p))
+		return false
+	}
+	if c.in.Buffered() > 0 {
+		c.give(req, answerOf(a, p), false)
+		c.linger()
+		return false
+	}
+	return c.give(req, answerOf(a, p), true)
+}
+
 // watchAfter is how long a request may be out before its caller is watched for
 // leaving. Most are answered within it and cost no wait of their own; what is
 // lost is that much of the time in which a request whose caller has gone could
@@ -358,7 +397,12 @@
 			Out:    p.Out,
 			Reply:  c.reply,
 		}
-		if b != nil {
+		switch {
+		case b != nil && b.rest != nil:
+			over := make(chan struct{})
+			r.Out.Upload = &upstream.Upload{Ahead: b.data, In: b.rest, Length: c.req.Length, Over: over}
+			r.Over = func() { b.release(); close(over) }
+		case b != nil:
 			r.Out.Body, r.Over = b.data, b.release
 		}
 		err := p.Pool.Take(r)
--- a/internal/front/http/routed_test.go
+++ b/internal/front/http/routed_test.go
@@ -199,7 +199,7 @@
 				other.Release()
 			}
 			before := b.Left()
-			got, err := readBody(in, &h, &b, new(limit.Bytes), c.most)
+			got, err := readBody(in, &h, room{short: &b, long: new(limit.Bytes)}, c.most)
 			if c.err != nil {
 				if err == nil || !strings.Contains(err.Error(), c.err.Error()) {
 					t.Errorf("error %v, want %v", err, c.err)
--- a/internal/front/http/stream_test.go
+++ b/internal/front/http/stream_test.go
@@ -20,6 +20,12 @@
 
 // longRig is a sidecar that streams, before an endpoint that h answers for.
 func longRig(t *testing.T, room int64, h http.HandlerFunc) *rig {
+	t.Helper()
+	return tightRig(t, room, 8<<20, h)
+}
+
+// tightRig is longRig with so many bytes for long bodies.
+func tightRig(t *testing.T, room, long int64, h http.HandlerFunc) *rig {
 	t.Helper()
 	srv := httptest.NewServer(h)
 	t.Cleanup(srv.Close)
@@ -31,7 +37,7 @@
 	cfg.Known.Endpoints = []nodes.Endpoint{{Name: "s-1", Address: srv.Listener.Addr().String(), Zone: "a", Status: nodes.InService}}
 	p, err := pool.New(pool.Config{
 		Name: "test", Zones: map[string]int{"a": 0}, Balance: cfg.Balance, Known: cfg.Known,
-		Limits: pool.Limits{BodyBytes: 8 << 20, LongBytes: 8 << 20},
+		Limits: pool.Limits{BodyBytes: 8 << 20, LongBytes: long},
 	}, conns)
 	if err != nil {
 		t.Fatal(err)
@@ -63,7 +69,7 @@
 func TestLongAnswersComeWhole(t *testing.T) {
 	const size = 3<<20 + 17
 	data := noise(size)
-	for _, room := range []int64{0, 8 << 20} {
+	for _, room := range []int64{0, 300 << 10, 8 << 20} {
 		for _, chunked := range []bool{false, true} {
 			for _, slow := range []bool{false, true} {
 				t.Run(fmt.Sprintf("room %d, chunked %t, slow %t", room, chunked, slow), func(t *testing.T) {
@@ -100,10 +106,18 @@
 // A slow caller does not hold an endpoint's connection while there is room to
 // read ahead.
 func TestSlowCallerFreesTheEndpoint(t *testing.T) {
+	for _, chunked := range []bool{false, true} {
+		t.Run(fmt.Sprintf("chunked %t", chunked), func(t *testing.T) { slowCaller(t, chunked) })
+	}
+}
+
+func slowCaller(t *testing.T, chunked bool) {
 	const size = 6 << 20
 	whole := make(chan struct{}, 1)
 	r := longRig(t, 8<<20, func(w http.ResponseWriter, req *http.Request) {
-		w.Header().Set("Content-Length", fmt.Sprint(size))
+		if !chunked {
+			w.Header().Set("Content-Length", fmt.Sprint(size))
+		}
 		w.Write(noise(size))
 		w.(http.Flusher).Flush()
 		whole <- struct{}{}
@@ -217,3 +231,90 @@
 		})
 	}
 }
+
+// A body that finds no room is sent on while it comes, in order and whole, and its
+// connections go on.
+func TestBodiesWithoutRoomStream(t *testing.T) {
+	const size = 5<<20 + 3
+	data := noise(size)
+	for _, chunked := range []bool{false, true} {
+		t.Run(fmt.Sprintf("chunked %t", chunked), func(t *testing.T) {
+			t.Parallel()
+			r := tightRig(t, 0, 100<<10, func(w http.ResponseWriter, req *http.Request) {
+				sum := sha256.New()
+				n, err := io.Copy(sum, req.Body)
+				fmt.Fprintf(w, "%d %x %v", n, sum.Sum(nil), err)
+			})
+			c := r.dial(t)
+			in := bufio.NewReader(c)
+			want := fmt.Sprintf("%d %x <nil>", size, sha256.Sum256(data))
+			for range 2 {
+				if chunked {
+					io.WriteString(c, pay("Transfer-Encoding: chunked\r\n\r\n"))
+					for rest := data; len(rest) > 0; {
+						n := min(len(rest), 100_000)
+						fmt.Fprintf(c, "%x\r\n%s\r\n", n, rest[:n])
+						rest = rest[n:]
+					}
+					io.WriteString(c, "0\r\n\r\n")
+				} else {
+					io.WriteString(c, pay(fmt.Sprintf("Content-Length: %d\r\n\r\n", size)))
+					c.Write(data)
+				}
+				if status, body, err := get(in); err != nil || status != 200 || body != want {
+					t.Fatalf("%d %q, %v, want 200 %q", status, body, err, want)
+				}
+			}
+			eventually(t, "one connection that waits for the next", func() bool { return r.Conns().Open() == 1 && r.Pool.Open() == 0 })
+			if left := r.Bodies().Left(); left != r.Bodies().Total() {
+				t.Errorf("%d bytes of room left of %d", left, r.Bodies().Total())
+			}
+		})
+	}
+}
+
+// A body that stops on the way, or is too long, is told off and never whole at its
+// node; a node that gives up in the middle is a refusal.
+func TestBrokenUploads(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		status     int
+		away       bool // the node turns the request away
+	}{
+		{"stops", pay("Content-Length: 900000\r\n\r\n" + strings.Repeat("b", 400000)), 408, false},
+		{"stops inside chunks", pay("Transfer-Encoding: chunked\r\n\r\nF4240\r\n" + strings.Repeat("b", 400000)), 408, false},
+		{"bad chunk", pay("Transfer-Encoding: chunked\r\n\r\n61A80\r\n" + strings.Repeat("b", 400000) + "\r\nzz\r\n"), 400, false},
+		{"turned away", pay("Content-Length: 9000000\r\n\r\n" + strings.Repeat("b", 9000000)), 503, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			whole := make(chan error, 10)
+			r := tightRig(t, 0, 100<<10, func(w http.ResponseWriter, req *http.Request) {
+				if c.away {
+					w.Header().Set("X-Rejected", "1")
+					w.Header().Set("Connection", "close")
+					w.WriteHeader(503)
+					return
+				}
+				_, err := io.Copy(io.Discard, req.Body)
+				whole <- err
+			})
+			conn := r.dial(t)
+			go io.WriteString(conn, c.text)
+			if status, _, err := get(bufio.NewReader(conn)); err != nil || status != c.status {
+				t.Errorf("status %d, %v, want %d", status, err, c.status)
+			}
+			if !c.away {
+				select {
+				case err := <-whole:
+					if err == nil {
+						t.Error("the node had the body whole")
+					}
+				case <-time.After(patience):
+					t.Error("the node still waits for the rest")
+				}
+			}
+			eventually(t, "nothing is held", func() bool { return r.Conns().Open() == 0 && r.Pool.Open() == 0 })
+		})
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -168,6 +168,9 @@
 // share that of the others.
 func (p *Pool) LongBodies() *limit.Bytes { return &p.long }
 
+// Streams tells whether a body that finds no room is sent on while it comes.
+func (p *Pool) Streams() bool { return p.conns.Streams() }
+
 // Limit changes the limits. What is held beyond them ends by itself.
 func (p *Pool) Limit(l Limits) {
 	p.most.Store(int64(l.Requests))
@@ -278,11 +281,22 @@
 	p.requests[r.id] = r
 	p.stats.Taken++
 	r.taking = true
-	p.balancer.Request(p.now(), r.id, r.Class, r.Tenant, r.Budget)
+	budget := r.Budget
+	if r.Out.Upload != nil {
+		budget += uploadMost
+	}
+	p.balancer.Request(p.now(), r.id, r.Class, r.Tenant, budget)
 	r.taking = false
 	return nil
 }
 
+// uploadMost bounds how long a body may come that is sent on meanwhile; the front
+// bounds its pace. To the Balancer all that time is the request's, as it chooses
+// a node before the body has come: until then the node's mean is read too high, and
+// its deadline too late; the attempt keeps to the right one. Bodies are sent on
+// so only where there is no room for them.
+const uploadMost = 20 * time.Minute
+
 // Answer is where the one answer to a request that was taken comes.
 func (r *Request) Answer() <-chan Answer { return r.Reply }
 
@@ -305,12 +319,16 @@
 	if r.answered {
 		return
 	}
+	p.withdraw(r)
+	p.settle(r)
+}
+
+func (p *Pool) withdraw(r *Request) {
 	r.withdrawn = true
 	r.call.End()
 	delete(p.requests, r.id)
 	p.stats.Withdrawn++
 	p.balancer.Withdrawn(p.now(), r.id)
-	p.settle(r)
 }
 
 // Retire ends the Pool for new requests: Take gives ErrRetired but for those
@@ -378,10 +396,22 @@
 
 // attempt makes one attempt and tells the Balancer how it ended.
 func (p *Pool) attempt(r *Request, a *attempt) {
-	up, result := p.conns.Do(&r.call, a.node, &r.Out, a.timeout)
+	timeout, u := a.timeout, r.Out.Upload
+	if u != nil {
+		timeout = min(timeout, r.Budget)
+	}
+	up, result := p.conns.Do(&r.call, a.node, &r.Out, timeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.now()
+	now, sent := p.now(), a.sent
+	if u != nil {
+		if u.Whole() {
+			sent = now - time.Since(u.WholeAt())
+		}
+		if u.Err() != nil && !r.answered && !r.withdrawn {
+			p.withdraw(r)
+		}
+	}
 	r.pending--
 	p.stats.Results[result]++
 	switch {
@@ -398,7 +428,7 @@
 		r.own = up
 	}
 	over := r.answered || r.withdrawn
-	p.balancer.Outcome(now, r.id, a.number, result, now-a.sent, over)
+	p.balancer.Outcome(now, r.id, a.number, result, now-sent, over)
 	p.settle(r)
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -102,6 +102,7 @@
 type handed struct {
 	Nodes  []nodes.Endpoint `json:"nodes"`  // as they are listed now
 	Listed []string         `json:"listed"` // names that have been listed once
+	Memory pool.Memory      `json:"memory"` // what was learnt
 }
 
 func (s *Sidecar) run(ctx context.Context, reload <-chan os.Signal) error {
@@ -152,6 +153,9 @@
 	if err != nil {
 		return err
 	}
+	if s.before != nil {
+		s.pool.Recall(was.Memory)
+	}
 	s.judge = httpfront.NewPlatform(s.pool, form)
 	s.callers = httpfront.NewCallers(s.judge, 1, httpfront.Times{})
 	s.share()
@@ -237,7 +241,7 @@
 
 // state is what the next process is told.
 func (s *Sidecar) state() any {
-	return handed{Nodes: s.pool.List().Endpoints, Listed: s.pool.Names()}
+	return handed{Nodes: s.pool.List().Endpoints, Listed: s.pool.Names(), Memory: s.pool.Memory()}
 }
 
 // succeed takes the place of the process at the other end of l.
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -26,7 +26,8 @@
 	Host   string
 	Fields framing.Fields // sent but for those of the hop; not changed
 	Body   []byte
-	Once   bool // must not run twice, so a reset cannot be mended
+	Upload *Upload // in the place of Body
+	Once   bool    // must not run twice, so a reset cannot be mended
 }
 
 // Answer is an endpoint's answer, whole but for what Rest still brings. Who gets
@@ -84,7 +85,13 @@
 // with its call, never having run; then it has afterOver to end. The answer
 // comes with balance.OK and, under Config.AnyStatus, with balance.Error if the
 // endpoint made one.
+//
+// An Upload has all the time that it comes in; timeout counts from its end. It is
+// NotSent where another attempt has begun to read it.
 func (p *Pool) Do(call *Call, name string, r *Request, timeout time.Duration) (*Answer, balance.Result) {
+	if r.Upload != nil && !r.Upload.start() {
+		return nil, balance.NotSent
+	}
 	deadline := time.Now().Add(timeout)
 	c, result := p.connect(call, name, r.Once, deadline)
 	if c == nil {
@@ -97,12 +104,19 @@
 		return nil, balance.NotSent
 	}
 	sent := time.Now()
-	if err := c.send(r, timeout); err != nil {
-		result := c.unsent(call)
+	if err := c.send(call, r, timeout); err != nil {
+		result := balance.NotSent
+		if !errors.Is(err, errUpload) {
+			result = c.unsent(call)
+		}
 		call.leave(me)
 		p.lose(c)
 		return nil, result
 	}
+	if r.Upload != nil {
+		deadline = r.Upload.WholeAt().Add(timeout)
+		c.SetDeadline(deadline)
+	}
 	a, again, result := c.receive(r, deadline)
 	c.pace = 0
 	if a != nil && a.Rest != nil {
@@ -174,8 +188,11 @@
 
 // send writes the request. An error means that its last byte did not go out,
 // so that the endpoint has not begun it.
-func (c *conn) send(r *Request, timeout time.Duration) error {
+func (c *conn) send(call *Call, r *Request, timeout time.Duration) error {
 	c.out = c.encode(c.out[:0], r, timeout)
+	if r.Upload != nil {
+		return c.upload(call, c.out, r.Upload)
+	}
 	if len(r.Body) > 0 && len(c.out)+len(r.Body) > writeBuffer {
 		all := net.Buffers{c.out, r.Body}
 		_, err := all.WriteTo(c.Conn)
@@ -197,6 +214,14 @@
 	b = r.Fields.Append(b)
 	b = append(b, "X-Budget-Ms: "...)
 	b = strconv.AppendInt(b, timeout.Milliseconds(), 10)
+	if r.Upload != nil {
+		if r.Upload.Length < 0 {
+			return append(b, "\r\nTransfer-Encoding: chunked\r\n\r\n"...)
+		}
+		b = append(b, "\r\nContent-Length: "...)
+		b = strconv.AppendInt(b, r.Upload.Length, 10)
+		return append(b, "\r\n\r\n"...)
+	}
 	switch r.Method {
 	case http.MethodPost, http.MethodPut, http.MethodPatch: // have one also where it is empty, RFC 9110, section 8.6
 		b = append(b, "\r\nContent-Length: "...)
--- a/internal/upstream/spool.go
+++ b/internal/upstream/spool.go
@@ -50,15 +50,17 @@
 
 // spool reads the rest of an answer ahead of a caller that is slower than its
 // endpoint. An endpoint has few connections, and turns requests away while they
-// wait for callers; memory for what is left frees its connection at once. Room
-// is taken for all that is left or not at all: many spools that are each half
-// full free no connection.
+// wait for callers; memory for what is left frees its connection at once. Where
+// the length is known, room is taken for all that is left or not at all: many
+// spools that are each half full free no connection. Otherwise it is taken piece
+// by piece, and without any the spool waits for its caller.
 type spool struct {
 	rest *Rest
 	hold limit.Hold
 
 	mu     sync.Mutex
-	more   sync.Cond
+	more   sync.Cond // something has come, gone or ended
+	cut    bool
 	chunks []*[]byte // of which the last is being filled
 	from   int       // what has been read of the first
 	fill   int       // what there is in the last
@@ -66,14 +68,19 @@
 	ended  chan struct{}
 }
 
-// Spool begins to read ahead, if what is left is known to be all there is and
-// there is room for it. It tells whether it does.
+// spoolLeast is how many chunks a spool has at the least.
+const spoolLeast = 2
+
+// Spool begins to read ahead, if there is room. It tells whether it does.
 func (r *Rest) Spool() bool {
-	if r.spool != nil || r.done || r.Length < 0 || r.left == 0 {
+	if r.spool != nil || r.done || r.left == 0 {
 		return r.spool != nil
 	}
-	// Chunks are whole, but for what this gives away of the last one.
-	hold, ok := r.c.target.pool.large.Reserve(r.left + spoolChunk)
+	need := int64(spoolLeast * spoolChunk)
+	if r.Length >= 0 {
+		need = r.left + spoolChunk // the last one is taken whole
+	}
+	hold, ok := r.c.target.pool.large.Reserve(need)
 	if !ok {
 		return false
 	}
@@ -91,6 +98,9 @@
 	at := spoolChunk
 	for {
 		if at == spoolChunk {
+			if !s.room() {
+				return
+			}
 			last, at = s.rest.c.target.pool.chunks.get(), 0
 			s.mu.Lock()
 			s.chunks, s.fill = append(s.chunks, last), 0
@@ -98,12 +108,12 @@
 		}
 		n, err := s.rest.direct((*last)[at:])
 		at += n
+		s.mu.Lock()
 		if err == io.EOF {
 			s.rest.letGo() // the next request may have the connection
 		}
-		s.mu.Lock()
 		s.fill, s.err = at, err
-		s.more.Signal()
+		s.more.Broadcast()
 		s.mu.Unlock()
 		if err != nil {
 			return
@@ -111,6 +121,17 @@
 	}
 }
 
+// room waits until there is room for one more chunk, or tells that nobody wants
+// it.
+func (s *spool) room() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.rest.Length < 0 && !s.hold.Grow(int64(len(s.chunks)+1)*spoolChunk) && !s.cut {
+		s.more.Wait()
+	}
+	return !s.cut
+}
+
 // read is Rest.Read.
 func (s *spool) read(b []byte) (int, error) {
 	s.mu.Lock()
@@ -129,7 +150,8 @@
 			if len(s.chunks) > 1 {
 				s.rest.c.target.pool.chunks.put(s.chunks[0])
 				s.chunks, s.from = s.chunks[1:], 0
-				s.hold.Shrink(s.hold.Held() - spoolChunk)
+				s.hold.Shrink(max(s.hold.Held()-spoolChunk, spoolLeast*spoolChunk))
+				s.more.Broadcast()
 				continue
 			}
 		}
@@ -143,12 +165,12 @@
 // close ends the spool, whoever is still to read from it.
 func (s *spool) close() {
 	s.mu.Lock()
-	over := s.err != nil
-	s.mu.Unlock()
-	if !over {
-		s.rest.c.SetDeadline(time.Unix(1, 0))
+	if s.cut = true; s.err == nil {
 		s.rest.cut.Store(true)
+		s.rest.c.SetDeadline(time.Unix(1, 0))
 	}
+	s.more.Broadcast()
+	s.mu.Unlock()
 	<-s.ended
 	for _, b := range s.chunks {
 		s.rest.c.target.pool.chunks.put(b)
--- /dev/null
+++ b/internal/upstream/upload.go
@@ -0,0 +1,112 @@
+package upstream
+
+import (
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Upload is the body of a request that is sent on while it comes, for want of
+// room to hold it. Once any of it that is not held has been sent there is no
+// second attempt; its node has not begun it before its last byte, so that one
+// which breaks off on the way has never run.
+type Upload struct {
+	Ahead  []byte    // what is held of it
+	In     io.Reader // the rest; one attempt reads it at a time
+	Length int64     // of all in bytes; -1 for chunked
+	Over   chan struct{}
+
+	mu      sync.Mutex
+	started bool // In has been read
+	err     error
+	whole   time.Time
+}
+
+// Err is why the body did not come.
+func (u *Upload) Err() error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.err
+}
+
+// Whole tells whether its last byte has been sent.
+func (u *Upload) Whole() bool { return !u.WholeAt().IsZero() }
+
+// WholeAt is when its last byte was sent, zero before.
+func (u *Upload) WholeAt() time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.whole
+}
+
+// start tells whether an attempt can send it from its first byte on.
+func (u *Upload) start() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return !u.started
+}
+
+func (u *Upload) end(err error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.err = err; err == nil {
+		u.whole = time.Now()
+	}
+}
+
+// errUpload tells of a body that did not come, which is not the node's doing.
+var errUpload = errors.New("the body has not come whole")
+
+// pieceTime is how long a node may leave a piece of a body unread.
+const pieceTime = 10 * time.Second
+
+// upload sends head and body, piece by piece.
+func (c *conn) upload(call *Call, head []byte, u *Upload) error {
+	buf := c.target.pool.chunks.get()
+	defer c.target.pool.chunks.put(buf)
+	chunked := u.Length < 0
+	write := func(before, data []byte) error {
+		if call.Over() {
+			return net.ErrClosed
+		}
+		c.SetWriteDeadline(time.Now().Add(pieceTime))
+		all := net.Buffers{before, data}
+		if chunked && len(data) > 0 {
+			before = strconv.AppendInt(before, int64(len(data)), 16)
+			all = net.Buffers{append(before, "\r\n"...), data, []byte("\r\n")}
+		}
+		_, err := all.WriteTo(c.Conn)
+		return err
+	}
+	if err := write(head, u.Ahead); err != nil {
+		return err
+	}
+	u.mu.Lock()
+	u.started = true
+	u.mu.Unlock()
+	for {
+		n, err := u.In.Read(*buf)
+		if n > 0 {
+			if err := write(nil, (*buf)[:n]); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			u.end(err)
+			return errUpload
+		}
+	}
+	if chunked {
+		if err := write([]byte("0\r\n\r\n"), nil); err != nil {
+			return err
+		}
+	}
+	u.end(nil)
+	return nil
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -94,6 +94,10 @@
 	}
 }
 
+// Streams tells whether long answers, and bodies without room, are passed on while
+// they come.
+func (p *Pool) Streams() bool { return p.cfg.Stream > 0 }
+
 // Bound is how many connections there may be.
 func (p *Pool) Bound() int {
 	p.mu.Lock()
