A body that streams is taken from the Balancer once its node is chosen

Cause: while such a body came, its attempt aged in the node's mean and passed its aim, which the door took for a jam: 0.65 and 0.68 on a seed of bulk+slow+pieces.

Change: just before the first byte that is not held goes out the pool tells the Balancer that nothing was sent; the one attempt is then answered by its outcome.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -93,6 +93,7 @@
 	pending   int // attempts without an outcome
 	answered  bool
 	withdrawn bool
+	detached  bool             // see detach
 	own       *upstream.Answer // what the last node said that failed
 }
 
@@ -281,22 +282,11 @@
 	p.requests[r.id] = r
 	p.stats.Taken++
 	r.taking = true
-	budget := r.Budget
-	if r.Out.Upload != nil {
-		budget += uploadMost
-	}
-	p.balancer.Request(p.now(), r.id, r.Class, r.Tenant, budget)
+	p.balancer.Request(p.now(), r.id, r.Class, r.Tenant, r.Budget)
 	r.taking = false
 	return nil
 }
 
-// uploadMost bounds how long a body may come that is sent on meanwhile; the front
-// bounds its pace. To the Balancer all that time is the request's, as it chooses
-// a node before the body has come: until then the node's mean is read too high, and
-// its deadline too late; the attempt keeps to the right one. Bodies are sent on
-// so only where there is no room for them.
-const uploadMost = 20 * time.Minute
-
 // Answer is where the one answer to a request that was taken comes.
 func (r *Request) Answer() <-chan Answer { return r.Reply }
 
@@ -316,19 +306,15 @@
 func (p *Pool) Withdraw(r *Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if r.answered {
+	if r.answered || r.detached {
 		return
 	}
-	p.withdraw(r)
-	p.settle(r)
-}
-
-func (p *Pool) withdraw(r *Request) {
 	r.withdrawn = true
 	r.call.End()
 	delete(p.requests, r.id)
 	p.stats.Withdrawn++
 	p.balancer.Withdrawn(p.now(), r.id)
+	p.settle(r)
 }
 
 // Retire ends the Pool for new requests: Take gives ErrRetired but for those
@@ -396,22 +382,20 @@
 
 // attempt makes one attempt and tells the Balancer how it ended.
 func (p *Pool) attempt(r *Request, a *attempt) {
-	timeout, u := a.timeout, r.Out.Upload
-	if u != nil {
-		timeout = min(timeout, r.Budget)
+	timeout := a.timeout
+	if u := r.Out.Upload; u != nil {
+		timeout = r.Budget // from its last byte on
+		u.Begin = func() bool { return p.detach(r, a) }
 	}
 	up, result := p.conns.Do(&r.call, a.node, &r.Out, timeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now, sent := p.now(), a.sent
-	if u != nil {
-		if u.Whole() {
-			sent = now - time.Since(u.WholeAt())
-		}
-		if u.Err() != nil && !r.answered && !r.withdrawn {
-			p.withdraw(r)
-		}
+	if r.detached {
+		p.stats.Results[result]++
+		p.uploaded(r, up, result)
+		return
 	}
+	now := p.now()
 	r.pending--
 	p.stats.Results[result]++
 	switch {
@@ -428,7 +412,7 @@
 		r.own = up
 	}
 	over := r.answered || r.withdrawn
-	p.balancer.Outcome(now, r.id, a.number, result, now-sent, over)
+	p.balancer.Outcome(now, r.id, a.number, result, now-a.sent, over)
 	p.settle(r)
 }
 
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -19,6 +19,9 @@
 	Length int64     // of all in bytes; -1 for chunked
 	Over   chan struct{}
 
+	// Begin is asked once before In is read, and tells whether the request goes on.
+	Begin func() bool
+
 	mu      sync.Mutex
 	started bool // In has been read
 	err     error
@@ -84,6 +87,9 @@
 	if err := write(head, u.Ahead); err != nil {
 		return err
 	}
+	if !u.Begin() {
+		return net.ErrClosed
+	}
 	u.mu.Lock()
 	u.started = true
 	u.mu.Unlock()
