--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -34,7 +34,7 @@
 
 	// largeShare: what is read ahead of long answers may fill one part in so
 	// many of the memory.
-	largeShare = 6
+	largeShare = 5
 	// longShare: so may bodies of requests over the protocol's first bound.
 	longShare = 8
 	// bodyShare: bodies may fill one part in so many of the memory. Heads,
