--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -604,3 +604,39 @@
 		t.Error("a class without a deadline was taken")
 	}
 }
+
+// Fewer attempts hold for requests that are open as well; a class that is added
+// later is served; settings that cannot be change nothing.
+func TestRetune(t *testing.T) {
+	cfg := testConfig()
+	b, h := newTest(t, cfg, "a", "b", "c")
+	b.Request(0, 1, 0, 0, time.Second)
+	cfg.AttemptLimit = 0
+	if err := b.Retune(cfg); err == nil || b.cfg.AttemptLimit != 3 {
+		t.Errorf("no attempts: error %v, limit %d", err, b.cfg.AttemptLimit)
+	}
+	cfg.AttemptLimit = 1
+	if err := b.Retune(cfg); err != nil {
+		t.Fatal(err)
+	}
+	b.Outcome(5*ms, 1, 0, Error, 5*ms, false)
+	if len(h.sends) != 1 || len(h.refused)+len(h.failed) != 1 {
+		t.Errorf("%d attempts, %d answers, want one of each", len(h.sends), len(h.refused)+len(h.failed))
+	}
+	i, err := b.AddClass(Class{Deadline: time.Second, Semantics: Unsafe, Worth: 1})
+	if err != nil || i != len(cfg.Classes) {
+		t.Fatalf("class %d, %v", i, err)
+	}
+	cfg.AttemptLimit = 3
+	if err := b.Retune(cfg); err != nil {
+		t.Fatal(err)
+	}
+	b.Request(10*ms, 2, i, 0, time.Second)
+	if len(h.sends) != 2 {
+		t.Errorf("%d attempts after a request of the new class, want 2", len(h.sends))
+	}
+	b.Outcome(15*ms, 2, 0, Reset, 5*ms, false)
+	if len(h.sends) != 2 || len(h.failed) != 1 {
+		t.Errorf("%d attempts, %d failures: it must not run twice", len(h.sends), len(h.failed))
+	}
+}
--- /dev/null
+++ b/internal/pool/out_test.go
@@ -0,0 +1,91 @@
+package pool
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gorselink/balance"
+	"gorselink/internal/nodes"
+)
+
+// What operators leave out drains whatever the list says of it, also where it is
+// listed anew; what they put back is cold from then on, until the list dates its
+// start later than it went out.
+func TestOutAndBack(t *testing.T) {
+	cfg := testConfig()
+	list := func(sinceMs int64) nodes.List {
+		l := entries("127.0.0.1:1", "127.0.0.1:2")
+		l.Undated = false
+		l.Endpoints[0].SinceMs = sinceMs
+		return l
+	}
+	cfg.Known = list(0)
+	p := newPool(t, cfg)
+	tell := func(l nodes.List) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.update(balance.Full, l)
+	}
+	is := func(when string, state balance.State, cold bool) {
+		t.Helper()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if e := p.entered["127.0.0.1:1"]; e.State != state || (e.Since != 0) != cold {
+			t.Errorf("%s: state %d, since %v, want state %d, cold %t", when, e.State, e.Since, state, cold)
+		}
+		if e := p.entered["127.0.0.1:2"]; e.State != balance.Ready || e.Since != 0 {
+			t.Errorf("%s: the other one is %+v", when, e)
+		}
+	}
+	is("at first", balance.Ready, false)
+	out := map[string]bool{"127.0.0.1:1": true, "127.0.0.1:9": true} // one is not listed now
+	p.Exclude(out)
+	is("out", balance.Draining, false)
+	tell(list(0))
+	is("listed again", balance.Draining, false)
+	p.Exclude(out)
+	is("out twice", balance.Draining, false)
+	p.Exclude(nil)
+	is("back", balance.Ready, true)
+	tell(list(0))
+	is("back, and listed as before", balance.Ready, true)
+	before := p.entered["127.0.0.1:1"].Since
+	tell(list(time.Now().Add(-time.Hour).UnixMilli()))
+	if now := p.entered["127.0.0.1:1"].Since; now != before {
+		t.Errorf("a start before it went out moved its start from %v to %v", before, now)
+	}
+	dated := time.Now().Add(time.Second)
+	tell(list(dated.UnixMilli()))
+	if got := p.entered["127.0.0.1:1"].Since; got <= before {
+		t.Errorf("since %v, want the start that is listed, after %v", got, before)
+	}
+}
+
+// Names that were listed once stay known, a bounded number of them.
+func TestNamesStayKnown(t *testing.T) {
+	cfg := testConfig()
+	cfg.Known = entries("127.0.0.1:1")
+	p := newPool(t, cfg)
+	p.Remember([]string{"before"})
+	p.mu.Lock()
+	p.update(balance.Full, entries("127.0.0.1:2"))
+	p.mu.Unlock()
+	for name, want := range map[string]bool{"127.0.0.1:1": true, "127.0.0.1:2": true, "before": true, "never": false} {
+		if got := p.Knows(name); got != want {
+			t.Errorf("%s: known %t, want %t", name, got, want)
+		}
+	}
+	if names := p.Names(); !slices.Contains(names, "127.0.0.1:1") || !slices.Contains(names, "before") || !slices.Contains(names, "127.0.0.1:2") {
+		t.Errorf("names %q", names)
+	}
+	var many []string
+	for i := range 2 * mostListed {
+		many = append(many, fmt.Sprint(i))
+	}
+	p.Remember(many)
+	if n := len(p.Names()); n > mostListed+1 {
+		t.Errorf("%d names are remembered", n)
+	}
+}
