--- a/internal/front/http/stream_test.go
+++ b/internal/front/http/stream_test.go
@@ -158,12 +158,18 @@
 func TestStreamBreaksAtCaller(t *testing.T) {
 	for _, chunked := range []bool{false, true} {
 		r := longRig(t, 8<<20, func(w http.ResponseWriter, req *http.Request) {
-			if !chunked {
-				w.Header().Set("Content-Length", "3000000")
+			c, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close() // a clean end of the connection, not of the answer
+			data := noise(1 << 20)
+			if chunked {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(data), data)
+			} else {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 3000000\r\n\r\n%s", data)
 			}
-			w.Write(noise(1 << 20))
-			w.(http.Flusher).Flush()
-			panic(http.ErrAbortHandler)
 		})
 		c := r.dial(t)
 		io.WriteString(c, view(""))
