Who is out and who came back moments ago goes to the next process with its times

Cause: an endpoint that an operator put back just before a takeover was taken for warm by the next process until the list dated its restart; one that was out counted as out since the process began. The memory that goes over holds both; TestOutAndBack asks the next pool.

--- a/internal/pool/out.go
+++ b/internal/pool/out.go
@@ -71,7 +71,7 @@
 	for name, since := range p.out {
 		if !out[name] {
 			delete(p.out, name)
-			p.back[name] = returned{out: since, back: now.UnixMilli()}
+			p.back[name] = Returned{Out: since, Back: now.UnixMilli()}
 		}
 	}
 	for _, name := range p.sorted() {
@@ -83,22 +83,22 @@
 		p.members(balance.Delta, changed)
 	}
 	for name, r := range p.back { // the list has dated all by then
-		if now.UnixMilli()-r.back > (p.cfg.Balance.RampTime + time.Minute).Milliseconds() {
+		if now.UnixMilli()-r.Back > (p.cfg.Balance.RampTime + time.Minute).Milliseconds() {
 			delete(p.back, name)
 		}
 	}
 }
 
-// returned is when an endpoint went out and came back, in Unix ms.
-type returned struct{ out, back int64 }
+// Returned is when an endpoint went out and came back, in Unix ms.
+type Returned struct{ Out, Back int64 }
 
 // byHand is what the endpoint e is beside what operators have said of it.
 func (p *Pool) byHand(e nodes.Endpoint) nodes.Endpoint {
 	if _, out := p.out[e.Name]; out && e.Status == nodes.InService {
 		e.Status = nodes.Terminating
 	}
-	if r, ok := p.back[e.Name]; ok && e.SinceMs < r.out {
-		e.SinceMs = r.back
+	if r, ok := p.back[e.Name]; ok && e.SinceMs < r.Out {
+		e.SinceMs = r.Back
 	}
 	return e
 }
--- a/internal/pool/out_test.go
+++ b/internal/pool/out_test.go
@@ -51,6 +51,12 @@
 	is("back", balance.Ready, true)
 	tell(list(0))
 	is("back, and listed as before", balance.Ready, true)
+	next := newPool(t, cfg) // the process that comes next, by a list that knows no better
+	next.Recall(p.Memory())
+	next.Exclude(nil)
+	if e := next.entered["127.0.0.1:1"]; e.State != balance.Ready || e.Since == 0 {
+		t.Errorf("in the next process: %+v, want it cold", e)
+	}
 	before := p.entered["127.0.0.1:1"].Since
 	tell(list(time.Now().Add(-time.Hour).UnixMilli()))
 	if now := p.entered["127.0.0.1:1"].Since; now != before {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -60,7 +60,7 @@
 	entered  map[string]balance.Endpoint // of them, as the Balancer was told
 	past     []string                    // names of some that are gone, see Knows
 	out      map[string]int64            // left out by hand, since when in Unix ms
-	back     map[string]returned         // were out, and the list may not have dated their start yet
+	back     map[string]Returned         // were out, and the list may not have dated their start yet
 	dates    map[string]int64            // since when nodes of undated lists have been there, in Unix ms
 	zones    map[string]int
 	wanted   bool      // a watch was wanted before there was a source
@@ -135,7 +135,7 @@
 		known:    map[string]nodes.Endpoint{},
 		entered:  map[string]balance.Endpoint{},
 		out:      map[string]int64{},
-		back:     map[string]returned{},
+		back:     map[string]Returned{},
 		dates:    map[string]int64{},
 		zones:    cfg.Zones,
 	}
