The limits of the start hold whatever a reload brings

Cause: a takeover reckoned its half of the limits from the configuration last read, which a reload may change at that moment (a race that no test had met) and whose limits are to hold until the next start.

Change: they are kept apart. The data path cannot have moved: the values are the same unless a reload changes `limits`, and they are read only at the start and at a takeover. internal/sidecar passes under the race detector.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -67,7 +67,8 @@
 // Sidecar is one process of the platform's sidecar.
 type Sidecar struct {
 	place    Place
-	cfg      *config.Config
+	cfg      *config.Config // guarded by mu once it serves
+	limits   config.Limits  // as they were at the start
 	listener net.Listener
 	up       *upstream.Pool
 	pool     *pool.Pool
@@ -107,6 +108,7 @@
 
 func (s *Sidecar) run(ctx context.Context, reload <-chan os.Signal) error {
 	cfg := s.cfg
+	s.limits = cfg.Limits
 	var console net.Listener
 	var err error
 	if addr := cfg.Console(s.place.Console); addr != "" {
@@ -217,7 +219,7 @@
 	return dir
 }
 
-func (s *Sidecar) memory() int64 { return int64(s.cfg.Limits.MemoryMB) << 20 }
+func (s *Sidecar) memory() int64 { return int64(s.limits.MemoryMB) << 20 }
 
 // share takes this process's part of the limits: all of them, or half while
 // another process of this sidecar is there as well, as the limits are for both.
@@ -228,7 +230,7 @@
 		parts = 2
 	}
 	s.mu.Unlock()
-	memory, conns := s.memory()/parts, max(2, s.cfg.Limits.Sockets/int(parts)-config.OwnDescriptors)
+	memory, conns := s.memory()/parts, max(2, s.limits.Sockets/int(parts)-config.OwnDescriptors)
 	debug.SetMemoryLimit(int64(float64(memory) * heapShare))
 	s.up.Limit(conns/2, memory/largeShare)
 	s.callers.Limit(conns / 2)
