One lock less a request; a takeover and the limits hold under close events

Cause, from reading the whole change once more: a caller's connection took the callers' mutex a second time for each request to see whether it is to be passed on; each change of a list sorted all names and searched 4,096 under the pool's mutex; without a shared folder a socket called "next" in the working folder was asked; a successor that begins as another ends could be forgotten, and two reckonings of the limits could end with the older one.

Change: the move that takes the mutex anyway brings the word along; names that are gone are kept in a set and looked for only in whole lists; no folder, no asking; a link that ends forgets only itself; the limits are reckoned under the lock.

Tests of sidecar (race detector), pool, fleet, front/http and daemon pass.

--- a/internal/front/http/caller.go
+++ b/internal/front/http/caller.go
@@ -88,6 +88,7 @@
 	done    chan struct{} // closed when its descriptor is free
 	rejects int           // in a row
 	resumed bool          // it was another process's, and has brought requests there
+	pass    Pass          // that of the Callers at the last move
 	req     Request       // the one that is being read or is out
 
 	// Of the request that is out.
--- a/internal/front/http/callers.go
+++ b/internal/front/http/callers.go
@@ -197,17 +197,13 @@
 // passOn gives c, which is between two requests, away if it is to go, and tells
 // whether it has gone.
 func (c *caller) passOn() bool {
-	cs := c.callers
-	cs.mu.Lock()
-	pass := cs.pass
-	cs.mu.Unlock()
-	if pass == nil {
+	if c.pass == nil {
 		return false
 	}
 	ahead, _ := c.in.Peek(c.in.Buffered())
-	if err := pass(c.conn, ahead); err != nil {
+	if err := c.pass(c.conn, ahead); err != nil {
 		slog.Warn("callers stay, as they are not taken over", "error", err)
-		cs.PassOn(nil)
+		c.callers.PassOn(nil)
 		return false
 	}
 	return true
@@ -265,6 +261,7 @@
 	cs := c.callers
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
+	c.pass = cs.pass
 	if ends = cs.ends(st); !c.placed {
 		return false, ends
 	}
--- a/internal/pool/members.go
+++ b/internal/pool/members.go
@@ -166,8 +166,9 @@
 	}
 	p.members(kind, entries)
 	p.listed = p.listed || len(entries) > 0
+	whole := kind == balance.Full || kind == balance.Cached
 	was := p.known
-	if kind == balance.Full || kind == balance.Cached {
+	if whole {
 		p.known = make(map[string]nodes.Endpoint, len(list))
 	}
 	for _, e := range list {
@@ -180,12 +181,12 @@
 		p.conns.Remove(e.Name)
 		p.remember(e.Name)
 	}
-	for _, name := range slices.Sorted(maps.Keys(was)) {
-		if _, stays := p.known[name]; !stays {
-			p.remember(name)
+	if whole {
+		for _, name := range slices.Sorted(maps.Keys(was)) {
+			if _, stays := p.known[name]; !stays {
+				p.remember(name)
+			}
 		}
-	}
-	if kind == balance.Full || kind == balance.Cached {
 		p.conns.Keep(func(name string) bool { _, ok := p.known[name]; return ok })
 	}
 }
--- a/internal/pool/out.go
+++ b/internal/pool/out.go
@@ -18,7 +18,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_, known := p.known[name]
-	return known || slices.Contains(p.past, name)
+	return known || p.passed[name]
 }
 
 // Names are the endpoints that Knows knows, those gone longest first.
@@ -42,11 +42,14 @@
 
 func (p *Pool) remember(names ...string) {
 	for _, name := range names {
-		if !slices.Contains(p.past, name) {
-			p.past = append(p.past, name)
+		if !p.passed[name] {
+			p.past, p.passed[name] = append(p.past, name), true
 		}
 	}
-	p.past = p.past[max(0, len(p.past)-mostListed):]
+	for len(p.past) > mostListed {
+		delete(p.passed, p.past[0])
+		p.past = p.past[1:]
+	}
 }
 
 // Exclude makes the endpoints of a set be left out, and those of the set before
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -59,6 +59,7 @@
 	known    map[string]nodes.Endpoint
 	entered  map[string]balance.Endpoint // of them, as the Balancer was told
 	past     []string                    // names of some that are gone, see Knows
+	passed   map[string]bool             // those in past
 	out      map[string]int64            // left out by hand, since when in Unix ms
 	back     map[string]Returned         // were out, and the list may not have dated their start yet
 	dates    map[string]int64            // since when nodes of undated lists have been there, in Unix ms
@@ -134,6 +135,7 @@
 		classes:  map[balance.Class]int{},
 		known:    map[string]nodes.Endpoint{},
 		entered:  map[string]balance.Endpoint{},
+		passed:   map[string]bool{},
 		out:      map[string]int64{},
 		back:     map[string]Returned{},
 		dates:    map[string]int64{},
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -119,8 +119,10 @@
 	}
 	dir := s.folder()
 	var was handed
-	if s.before, s.listener, err = fleet.TakeOver(dir, &was); err != nil {
-		slog.Warn("the process before is not heard", "error", err)
+	if dir != "" {
+		if s.before, s.listener, err = fleet.TakeOver(dir, &was); err != nil {
+			slog.Warn("the process before is not heard", "error", err)
+		}
 	}
 	if s.listener == nil {
 		if s.listener, err = listen(cfg.Listen); err != nil {
@@ -225,11 +227,11 @@
 // another process of this sidecar is there as well, as the limits are for both.
 func (s *Sidecar) share() {
 	s.mu.Lock()
+	defer s.mu.Unlock() // to the end, so that the last word is of the latest state
 	parts := int64(1)
 	if s.before != nil || s.after != nil {
 		parts = 2
 	}
-	s.mu.Unlock()
 	memory, conns := s.memory()/parts, max(2, s.limits.Sockets/int(parts)-config.OwnDescriptors)
 	debug.SetMemoryLimit(int64(float64(memory) * heapShare))
 	s.up.Limit(conns/2, memory/largeShare)
@@ -280,10 +282,13 @@
 	go func() {
 		<-l.Done()
 		s.mu.Lock()
-		s.after, s.serving = nil, false
+		last := s.after == l // another one may have begun since
+		if last {
+			s.after, s.serving = nil, false
+		}
 		ending := s.ending
 		s.mu.Unlock()
-		if !ending {
+		if last && !ending {
 			slog.Warn("the other process is gone, this one serves on")
 			s.share()
 			s.accept(true)
