Load engine: a connection that comes free takes the next overdue request itself

Cause: one dispatcher handed out all that came free at once; after a target's stall over 100 connections that took 5 to 7 ms under the race detector, which is own error and broke TestStallIsNotOwnError. Lanes now take what is overdue under the same lock as the account; the dispatcher wakes for what is due, for retries and for the patience of callers while all lanes are at work. A request counts as having waited for a connection if the account says that it did.

--- a/internal/load/lane.go
+++ b/internal/load/lane.go
@@ -34,7 +34,7 @@
 type job struct {
 	ask     ask
 	ready   time.Duration // when this try was due
-	sent    time.Duration // when the dispatcher gave it to its lane
+	sent    time.Duration // when its lane was given it, or took it
 	again   bool          // not its first try
 	retries int
 	toll    toll
@@ -73,7 +73,8 @@
 func (l *lane) run(ctx context.Context) {
 	defer l.close()
 	for j := range l.work {
-		l.r.free(l, l.do(ctx, j))
+		for ok := true; ok; j, ok = l.r.free(l, l.do(ctx, j)) {
+		}
 	}
 }
 
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -69,18 +69,23 @@
 // Runner makes one run.
 type Runner struct {
 	cfg    Config
+	clock  func() time.Time // tells when the run begins
 	start  time.Time
 	rec    *recorder
 	fill   []*filler
 	opened atomic.Int64
 	bytes  atomic.Int64
-	queued int64
 	most   int // requests that may be open
 
 	due, ended atomic.Int64
 
 	mu      sync.Mutex
-	idle    []*lane // the one used last at the end
+	head    traffic.Arrival // the first of the plan that has not been sent
+	more    bool            // there is a head
+	last    time.Duration   // when the one before it was due
+	queued  int64           // requests that waited for a connection
+	full    bool            // the dispatcher has found all lanes at work
+	idle    []*lane         // the one used last at the end
 	lanes   int
 	inUse   map[*lane]net.Conn
 	over    bool
@@ -154,7 +159,7 @@
 	if most == 0 {
 		most = openFactor * cfg.Conns
 	}
-	r := &Runner{cfg: cfg, most: most, account: traffic.NewAccount(cfg.Conns, most), inUse: map[*lane]net.Conn{}, pending: map[*job]*time.Timer{}, wake: make(chan struct{}, 1)}
+	r := &Runner{cfg: cfg, clock: time.Now, most: most, account: traffic.NewAccount(cfg.Conns, most), inUse: map[*lane]net.Conn{}, pending: map[*job]*time.Timer{}, wake: make(chan struct{}, 1)}
 	var names []string
 	for i := range cfg.Streams {
 		f, err := traffic.NewFiller(&cfg.Streams[i], cfg.Seed)
@@ -179,21 +184,20 @@
 		ctx, cancel = context.WithTimeout(ctx, r.cfg.Span+r.cfg.Grace)
 		defer cancel()
 	}
-	r.start = time.Now()
+	r.start = r.clock()
 	began, machine := processCPU(), machineCPU()
 	var lanes, live sync.WaitGroup
 	liveCtx, stopLive := context.WithCancel(context.Background())
 	live.Go(func() { r.live(liveCtx) })
-	rest, more := r.dispatch(ctx, &lanes)
-	end := r.now()
+	r.head, r.more = r.cfg.Plan.Next()
+	r.dispatch(ctx, &lanes)
+	end := r.stop()
 	cancel()
 	r.finish(end)
 	lanes.Wait()
-	for ; more && rest.Due <= end; rest, more = r.cfg.Plan.Next() {
+	for ; r.more && r.head.Due <= end; r.head, r.more = r.cfg.Plan.Next() {
 		// The run was cut off: what was due by then has waited in vain.
-		r.due.Add(1)
-		r.queued++
-		r.giveUp(&job{ask: asked(rest), ready: rest.Due}, end, Unanswered)
+		r.giveUp(&job{ask: asked(r.head), ready: r.head.Due}, end, Unanswered)
 	}
 	stopLive()
 	live.Wait()
@@ -215,99 +219,137 @@
 // wait between two tries hold none.
 const openFactor = 16
 
-// dispatch hands out what is due until all has ended or ctx does. It returns
-// the first arrival of the plan that it has not handed out, if there is one.
+// dispatch hands out what is due until all has ended or ctx does.
 //
 // The plan itself is the queue: what finds no lane is not read before there is
 // one, so that a target that stalls costs no memory, however much is due.
-func (r *Runner) dispatch(ctx context.Context, lanes *sync.WaitGroup) (rest traffic.Arrival, more bool) {
-	var last time.Duration
-	a, more := r.cfg.Plan.Next()
+//
+// What is overdue goes to whoever comes first, the dispatcher or a lane that comes
+// free. When a target that stood still lets go of a hundred connections at once,
+// handing them out one by one would take milliseconds that are the generator's.
+func (r *Runner) dispatch(ctx context.Context, lanes *sync.WaitGroup) {
 	for ctx.Err() == nil {
-		j, ok, open := r.popReady()
+		until, done := r.handOut(ctx, lanes)
+		if done {
+			return
+		}
+		r.wait(ctx, until)
+	}
+}
+
+// handOut gives what is due to lanes that are free, and tells until when there
+// is nothing more to hand out, or that the run is done.
+func (r *Runner) handOut(ctx context.Context, lanes *sync.WaitGroup) (until time.Duration, done bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for {
+		now := r.now()
+		if r.full = len(r.idle) == 0 && r.lanes == r.cfg.Conns; r.full {
+			return r.patience(now), false
+		}
+		j, ok := r.next(now)
 		switch {
 		case ok:
-			if !r.hand(ctx, lanes, &j) {
-				now := r.now()
-				r.giveUp(&j, now, Unanswered)
-				r.left(now)
-			}
-		case more && open >= r.most:
-			r.wait(ctx, r.now()+time.Second)
-		case more && a.Due > r.now():
-			r.wait(ctx, a.Due)
-		case more:
-			if !r.hand(ctx, lanes, &job{ask: asked(a), ready: a.Due}) {
-				return a, true
-			}
-			last = a.Due
-			a, more = r.cfg.Plan.Next()
-		case open == 0 || r.now() >= last+r.cfg.Grace:
-			return a, false
+			l := r.lane(ctx, lanes)
+			r.book(&j, now)
+			l.work <- j
+		case r.more && r.open >= r.most:
+			return now + time.Second, false
+		case r.more:
+			return r.head.Due, false
 		default:
-			r.wait(ctx, last+r.cfg.Grace)
+			return r.last + r.cfg.Grace, r.open == 0 || now >= r.last+r.cfg.Grace
 		}
 	}
-	return a, more
 }
 
-// hand gives j to a lane once one is free. It is false if ctx ends before. A
-// request whose caller's patience ends while it waits for a lane is not sent.
-func (r *Runner) hand(ctx context.Context, lanes *sync.WaitGroup, j *job) bool {
-	budget := r.cfg.Streams[j.ask.stream].Budget
-	for waited := false; ; waited = true {
-		now := r.now()
-		if budget > 0 && now >= j.ask.due+budget {
-			if !j.again {
-				r.due.Add(1)
-				r.queued++
-			}
-			r.giveUp(j, now, TimedOut)
-			if j.again {
-				r.left(now)
-			}
-			return true
-		}
-		if l := r.lane(ctx, lanes, j, now); l != nil {
-			if !j.again {
-				if waited {
-					r.queued++
-				}
-				r.due.Add(1)
-			}
-			l.work <- *j
-			return true
+// patience gives up what its callers wait for no longer, all lanes being at
+// work, and tells when there is more to look at. r.mu is held.
+func (r *Runner) patience(now time.Duration) (until time.Duration) {
+	for {
+		a, from, ok := r.first()
+		switch at, has := r.gone(&a); {
+		case ok && from > now:
+			return from
+		case !ok || !has:
+			return now + time.Second
+		case now < at:
+			return at
 		}
-		until := r.now() + time.Second
-		if budget > 0 {
-			until = min(until, j.ask.due+budget)
+		j := r.pop()
+		r.abandon(&j, now)
+	}
+}
+
+// next returns what is to be sent now, if there is anything: a retry whose wait
+// is over, or what the plan has due. It gives up what has waited for a lane for
+// longer than its caller does. r.mu is held.
+func (r *Runner) next(now time.Duration) (j job, ok bool) {
+	for {
+		a, from, ok := r.first()
+		if !ok || from > now {
+			return job{}, false
 		}
-		if r.wait(ctx, until); ctx.Err() != nil {
-			return false
+		j = r.pop()
+		if at, has := r.gone(&a); !has || now < at {
+			return j, true
 		}
+		r.abandon(&j, now)
 	}
 }
 
-// lane returns a lane that is free for j, or nil, and books that j is sent.
-func (r *Runner) lane(ctx context.Context, lanes *sync.WaitGroup, j *job, now time.Duration) *lane {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var l *lane
+// gone is when the caller of a request goes, if it does.
+func (r *Runner) gone(a *ask) (at time.Duration, has bool) {
+	budget := r.cfg.Streams[a.stream].Budget
+	return a.due + budget, budget > 0
+}
+
+// first is what pop would take and from when on it may be sent, if there is
+// anything that may be begun. r.mu is held.
+func (r *Runner) first() (a ask, from time.Duration, ok bool) {
+	if len(r.ready) > 0 {
+		return r.ready[0].ask, 0, true
+	}
+	return asked(r.head), r.head.Due, r.more && r.open < r.most
+}
+
+// pop takes a retry whose wait is over, or else the head of the plan. r.mu is held.
+func (r *Runner) pop() (j job) {
+	if len(r.ready) > 0 {
+		j, r.ready = r.ready[0], r.ready[1:]
+		return j
+	}
+	j = job{ask: asked(r.head), ready: r.head.Due}
+	r.last = r.head.Due
+	r.head, r.more = r.cfg.Plan.Next()
+	return j
+}
+
+// book books that j is sent at a moment, over a lane that is free. r.mu is held.
+func (r *Runner) book(j *job, now time.Duration) {
+	late := r.account.Sent(j.ready, now, j.again)
+	j.sent = now
+	j.toll.add(late)
+	if j.again {
+		return
+	}
+	if late.Waited > 0 {
+		r.queued++
+	}
+	r.due.Add(1)
+	r.open++
+}
+
+// lane returns a lane that is free. r.mu is held.
+func (r *Runner) lane(ctx context.Context, lanes *sync.WaitGroup) (l *lane) {
 	if n := len(r.idle); n > 0 {
 		l = r.idle[n-1]
 		r.idle = r.idle[:n-1]
-	} else if r.lanes < r.cfg.Conns {
-		l = &lane{r: r, shard: &r.rec.shards[r.lanes%shards], work: make(chan job, 1)}
-		r.lanes++
-		lanes.Go(func() { l.run(ctx) })
-	} else {
-		return nil
-	}
-	j.sent = now
-	j.toll.add(r.account.Sent(j.ready, now, j.again))
-	if !j.again {
-		r.open++
+		return l
 	}
+	l = &lane{r: r, shard: &r.rec.shards[r.lanes%shards], work: make(chan job, 1)}
+	r.lanes++
+	lanes.Go(func() { l.run(ctx) })
 	return l
 }
 
@@ -359,32 +401,38 @@
 	}
 }
 
-// popReady returns a retry whose time has come, if there is one, and how many
-// requests are open.
-func (r *Runner) popReady() (j job, ok bool, open int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.ready) > 0 {
-		j, ok = r.ready[0], true
-		r.ready = r.ready[1:]
-	}
-	return j, ok, r.open
-}
-
 // left books that a request which had been begun has ended.
 func (r *Runner) left(at time.Duration) {
 	r.mu.Lock()
+	r.ends(at)
+	r.mu.Unlock()
+}
+
+// ends is left with r.mu held.
+func (r *Runner) ends(at time.Duration) {
 	r.open--
 	r.account.Ended(at)
-	r.mu.Unlock()
-	r.rouse()
+	if !r.more || r.open+1 >= r.most {
+		r.rouse()
+	}
 }
 
-// giveUp books the end of a request that finds no lane any more.
+// abandon books that a request found no lane in time. r.mu is held.
+func (r *Runner) abandon(j *job, now time.Duration) {
+	r.giveUp(j, now, TimedOut)
+	if j.again {
+		r.ends(now)
+	}
+}
+
+// giveUp books the end of a request that finds no lane any more. r.mu is held,
+// or nothing else runs.
 func (r *Runner) giveUp(j *job, at time.Duration, o Outcome) {
-	r.mu.Lock()
+	if !j.again {
+		r.due.Add(1)
+		r.queued++
+	}
 	j.toll.add(r.account.GivenUp(j.ready, at, j.again))
-	r.mu.Unlock()
 	r.end(j, at, o)
 }
 
@@ -409,24 +457,40 @@
 	})
 }
 
-// free takes a lane back which has had its answer at a time.
-func (r *Runner) free(l *lane, at time.Duration) {
+// free takes a lane back which has had its answer at a time, or gives it what
+// is overdue.
+func (r *Runner) free(l *lane, at time.Duration) (j job, ok bool) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.account.Free(at)
 	if r.over {
 		close(l.work)
-	} else {
-		r.idle = append(r.idle, l)
+		return job{}, false
 	}
-	r.mu.Unlock()
-	r.rouse()
+	now := r.now()
+	if j, ok = r.next(now); ok {
+		r.book(&j, now)
+		return j, true
+	}
+	r.idle = append(r.idle, l)
+	if r.full {
+		r.rouse()
+	}
+	return job{}, false
+}
+
+// stop has nothing more sent, and tells when.
+func (r *Runner) stop() (end time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.over = true
+	return r.now()
 }
 
 // finish ends the lanes and all that waits between two tries.
 func (r *Runner) finish(end time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.over = true
 	for _, l := range r.idle {
 		close(l.work)
 	}
@@ -439,9 +503,7 @@
 		r.end(p, end, Unanswered)
 	}
 	for i := range r.ready {
-		j := &r.ready[i]
-		j.toll.add(r.account.GivenUp(j.ready, end, true))
-		r.end(j, end, Unanswered)
+		r.giveUp(&r.ready[i], end, Unanswered)
 	}
 	r.pending, r.ready = map[*job]*time.Timer{}, nil
 }
--- a/internal/load/verdict.go
+++ b/internal/load/verdict.go
@@ -89,8 +89,13 @@
 	if ctx.Err() == nil && res.Outcomes[OK] != res.Requests() {
 		return nil, errors.New("load: the echo to measure the floor by did not answer")
 	}
-	at := func(q float64) float64 { return float64(res.Latency.ValueAtQuantile(q)) / 1000 }
-	return &Floor{P50: at(50), P90: at(90), P99: at(99), P999: float64(res.Latency.Max()) / 1000}, nil
+	return res.asFloor(), nil
+}
+
+// asFloor is the floor that a run against an echo shows.
+func (r *Result) asFloor() *Floor {
+	at := func(q float64) float64 { return float64(r.Latency.ValueAtQuantile(q)) / 1000 }
+	return &Floor{P50: at(50), P90: at(90), P99: at(99), P999: float64(r.Latency.Max()) / 1000}
 }
 
 // echo answers whatever comes on the connections of l until it is closed.
