--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -452,7 +452,11 @@
 	p := (*Pool)(h)
 	r := p.requests[id]
 	a := attempt{number: r.attempts, node: addr, sent: p.now(), timeout: timeout}
-	r.attempts++
+	if r.attempts++; r.attempts == 1 {
+		p.stats.First++
+	} else {
+		p.stats.Again++
+	}
 	r.pending++
 	if r.taking && !r.mine {
 		r.first, r.mine = a, true
--- a/internal/pool/stats.go
+++ b/internal/pool/stats.go
@@ -15,6 +15,8 @@
 	Refused   int
 	Failed    int
 	Withdrawn int
+	First     int                      // attempts that were a request's first
+	Again     int                      // and those that followed
 	Results   [balance.NotSent + 1]int // of attempts
 }
 
@@ -39,12 +41,14 @@
 	if st == was && open == 0 {
 		return
 	}
+	endpoints, most := p.conns.Spread()
 	since := func(r balance.Result) int { return st.Results[r] - was.Results[r] }
 	slog.Info("second", "pool", p.cfg.Name, "taken", st.Taken-was.Taken, "open", open,
 		"full", st.Full-was.Full, "refused", st.Refused-was.Refused, "failed", st.Failed-was.Failed, "withdrawn", st.Withdrawn-was.Withdrawn,
+		"first", st.First-was.First, "again", st.Again-was.Again,
 		"ok", since(balance.OK), "error", since(balance.Error),
 		"overloaded", since(balance.Overloaded), "timeout", since(balance.Timeout),
 		"noconn", since(balance.ConnectError), "reset", since(balance.Reset),
-		"notsent", since(balance.NotSent), "conns", p.conns.Open(),
+		"notsent", since(balance.NotSent), "conns", p.conns.Open(), "endpoints", endpoints, "conns_most", most,
 		"bodies_left", p.bodies.Left(), "untold", untold)
 }
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -167,13 +167,13 @@
 	defer cancel()
 	me := out{dial: &cancel}
 	if !call.enter(me) {
-		p.forget()
+		p.forget(t)
 		return nil, balance.NotSent
 	}
 	nc, err := d.DialContext(ctx, "tcp", t.Address)
 	over := call.leave(me)
 	if err != nil {
-		p.forget()
+		p.forget(t)
 		if over || shortage(err) {
 			return nil, balance.NotSent
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -94,6 +94,7 @@
 	Target
 	pool *Pool
 	idle []*conn // the one used last at the end
+	open int     // connections, those being dialled included
 	gone bool    // replaced or no longer listed: its connections are not kept
 }
 
@@ -190,6 +191,18 @@
 	return p.open
 }
 
+// Spread is how many endpoints connections are open to, and the most to one.
+func (p *Pool) Spread() (endpoints, most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range p.targets {
+		if t.open > 0 {
+			endpoints, most = endpoints+1, max(most, t.open)
+		}
+	}
+	return endpoints, most
+}
+
 // idleMargin is the part of the endpoints' idle limit after which a connection
 // is no longer used: a request that meets an endpoint closing it would be a
 // reset, which an unsafe request does not survive.
@@ -253,7 +266,7 @@
 		}
 	}
 	p.idle.Remove(&c.place)
-	p.open--
+	p.ended(c.target)
 	c.Close()
 }
 
@@ -292,6 +305,7 @@
 		p.drop(oldest.Of)
 	}
 	p.open++
+	t.open++
 	return nil, t
 }
 
@@ -300,7 +314,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c.target.gone || p.closed || p.open > p.cfg.MaxConns {
-		p.open--
+		p.ended(c.target)
 		c.Close()
 		return
 	}
@@ -312,14 +326,20 @@
 // lose closes a connection that cannot be used again.
 func (p *Pool) lose(c *conn) {
 	c.Close()
-	p.forget()
+	p.forget(c.target)
 }
 
-// forget books that a connection, or the dialling of one, has ended.
-func (p *Pool) forget() {
+// forget books that a connection to t, or the dialling of one, has ended.
+func (p *Pool) forget(t *target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.ended(t)
+}
+
+// ended is forget with the mutex held.
+func (p *Pool) ended(t *target) {
 	p.open--
+	t.open--
 }
 
 // Close closes the idle connections; those in use close when they are done.
