--- a/balance/step_test.go
+++ b/balance/step_test.go
@@ -25,15 +25,8 @@
 		cfg := fleetConfig()
 		cfg.Entry = true
 		f := newFleet(t, cfg, doors, seed)
-		type server struct{ busy, waiting int }
-		servers := map[string]*server{}
-		line := map[string][]func(){}
+		busy, line := map[string]int{}, map[string][]func(){}
 		f.call = func(addr string, timeout time.Duration, done func(Result)) {
-			s := servers[addr]
-			if s == nil {
-				s = &server{}
-				servers[addr] = s
-			}
 			over := false
 			finish := func(r Result) {
 				if !over {
@@ -41,11 +34,10 @@
 					done(r)
 				}
 			}
-			var begin func()
-			begin = func() {
-				s.busy++
+			begin := func() {
+				busy[addr]++
 				f.after(time.Duration(float64(work)*(0.5+f.rng.Float64())), func() {
-					s.busy--
+					busy[addr]--
 					finish(OK)
 					if len(line[addr]) > 0 {
 						next := line[addr][0]
@@ -55,7 +47,7 @@
 				})
 			}
 			switch {
-			case s.busy < cores:
+			case busy[addr] < cores:
 				begin()
 			case len(line[addr]) < queue:
 				line[addr] = append(line[addr], begin)
