--- a/balance/admission.go
+++ b/balance/admission.go
@@ -51,12 +51,9 @@
 	return q.tokens >= 1
 }
 
-// observe books how an attempt ended. The limit moves once in as many outcomes
-// as there were attempts out, one round trip, so that each move shows in what
-// the next one is judged by; moving faster swings between jam and idleness.
-//
-// It falls only on a share that so few outcomes do not show by chance: some late
-// ones come of endpoints that freeze as well, which refusing does not mend.
+// observe books how an attempt ended. The limit moves once in as many outcomes as
+// there were attempts out, one round trip: faster moves swing between jam and idleness.
+// It falls only on a share that so few outcomes do not show by chance.
 func (a *admission) observe(congested bool, out int, inAim float64) {
 	a.outcomes++
 	if congested {
@@ -87,10 +84,9 @@
 	a.outcomes, a.congested, a.late, a.refused, a.outBefore = 0, 0, 0, false, out
 }
 
-// admits tells whether a request that has this part of its value left may
-// enter with so many attempts out. Below the mean value the door closes
-// earlier. The mean is of whole values: the many late repeats of an overload
-// would lower it until the classes no longer differed.
+// admits tells whether a request that has this part of its value left may enter with
+// so many attempts out. Below the mean value, which is of whole ones as late repeats
+// would lower it until the classes no longer differed, the door closes earlier.
 func (a *admission) admits(value, part float64, out int) bool {
 	a.seen = min(a.seen+1, valueMemory)
 	a.meanValue += (value - a.meanValue) / a.seen
@@ -122,10 +118,9 @@
 	return true
 }
 
-// waited is how long the client has waited in tries before r, as far as its
-// budget shows: most tries come with the same budget, while the last one has
-// what the client's patience leaves. In overload many requests are such repeats,
-// and serving them first would make the fresh ones late as well.
+// waited is how long the client has waited in tries before r, as far as its budget
+// shows: most tries come with the same budget, the last one with what patience leaves.
+// Serving such repeats first in an overload would make the fresh ones late as well.
 func (b *Balancer) waited(r *request) time.Duration {
 	c := &b.classes[r.class]
 	budget := r.deadline - r.arrived
@@ -141,11 +136,9 @@
 	return b.cfg.Classes[r.class].Deadline - budget
 }
 
-// value is what serving a request adds to the operators' goal for the work it
-// costs: its worth beside the mean worth and its share of the worst served class,
-// where the goal weighs that. Worth alone would starve the class worth least. What
-// it costs shows in its time alone, of which a part is waiting that costs nothing:
-// the work of classes differs by more than their times, and their squares are nearer.
+// value is what serving a request adds to the operators' goal for the work it costs:
+// its worth beside the mean worth and its share of the worst served class, where the
+// goal weighs that. Its cost is the square of its time, of which a part is waiting.
 func (b *Balancer) value(now time.Duration, class, tenant int) float64 {
 	c := &b.classes[class]
 	c.asked++
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,13 +1,11 @@
 // Package balance makes the decisions of a load balancer that sits beside a
 // caller: which endpoint gets an attempt, when to try again, when to refuse.
 //
-// A Balancer is told what happens by method calls that carry the time, and
-// acts through a Host. It does no I/O, keeps no clock and starts nothing; the
-// same events and seed give the same actions. It is not safe for concurrent
-// use.
-//
-// The rule for an ordinary request is the ratio approach of Küting et al., "Client-Based
-// Adaptive Load Balancing in Service-Oriented Systems"; see docs/design.md.
+// A Balancer is told what happens by method calls that carry the time, and acts through
+// a Host. It does no I/O, keeps no clock and starts nothing; the same events and seed
+// give the same actions. It is not safe for concurrent use. The rule for an ordinary
+// request is the ratio approach of Küting et al., "Client-Based Adaptive Load Balancing
+// in Service-Oriented Systems"; see docs/design.md.
 package balance
 
 import (
@@ -182,8 +180,10 @@
 
 // firstRun is the first attempt that may have run or may still, or nil.
 func (r *request) firstRun() *attempt {
-	if k := slices.IndexFunc(r.attempts, func(a attempt) bool { return !a.neverRan }); k >= 0 {
-		return &r.attempts[k]
+	for k := range r.attempts {
+		if !r.attempts[k].neverRan {
+			return &r.attempts[k]
+		}
 	}
 	return nil
 }
@@ -323,13 +323,12 @@
 // What has been learnt of the others, and of the endpoints, stands.
 func (b *Balancer) AddClass(c Class) (int, error) {
 	i := len(b.classes)
-	if c.Deadline <= 0 || c.Aim < 0 {
+	switch {
+	case c.Deadline <= 0 || c.Aim < 0:
 		return 0, fmt.Errorf("balance: Classes[%d]: Deadline %v and Aim %v, want a Deadline above 0 and no negative Aim", i, c.Deadline, c.Aim)
-	}
-	if c.Semantics < Safe || c.Semantics > Unsafe || c.Scope < ScopeAll || c.Scope > ScopeCell {
+	case c.Semantics < Safe || c.Semantics > Unsafe || c.Scope < ScopeAll || c.Scope > ScopeCell:
 		return 0, fmt.Errorf("balance: Classes[%d]: unknown Semantics or Scope", i)
-	}
-	if c.Aim == 0 {
+	case c.Aim == 0:
 		c.Aim = c.Deadline
 	}
 	b.cfg.Classes, b.classes = append(b.cfg.Classes, c), append(b.classes, classStats{})
@@ -412,9 +411,8 @@
 
 const goneMemory = 30 * time.Second // what a hiccup of discovery drops comes back well within it
 
-// forget frees the places of endpoints that are gone for good, against a list of
-// ever new ids. A place is used again only when no request that has an attempt
-// there is left, so that no late outcome is booked with a stranger.
+// forget frees the places of endpoints that are gone for good. A place is used again
+// only when no request with an attempt there is left: no outcome goes to a stranger.
 func (b *Balancer) forget(now time.Duration) {
 	for i := range b.eps {
 		e := &b.eps[i]
@@ -447,9 +445,9 @@
 		return
 	}
 	b.retryTokens = min(b.retryTokens+retryShare, retryBurst)
-	b.host.After(budget, uint64(id)<<timerBits|timerDeadline)
+	b.after(r, budget, timerDeadline)
 	if aim := b.cfg.Classes[class].Aim; b.cfg.Entry && aim < budget {
-		b.host.After(aim, uint64(id)<<timerBits|timerLate)
+		b.after(r, aim, timerLate)
 	}
 	b.try(r, now)
 }
@@ -461,26 +459,26 @@
 
 // try sends the next attempt of r if an endpoint can take it, or holds r.
 func (b *Balancer) try(r *request, now time.Duration) {
-	i := b.pick(r, now)
-	if i >= 0 {
-		if b.tooSlow(r, i, now) && b.refuse(r, now) {
-			return
+	switch i := b.pick(r, now); {
+	case i >= 0:
+		if !b.tooSlow(r, i, now) || !b.refuse(r, now) {
+			b.send(r, i, now)
 		}
-		b.send(r, i, now)
-		return
-	}
-	if r.out > 0 {
-		return
-	}
-	if len(r.attempts) > 0 {
+	case r.out > 0:
+	case len(r.attempts) > 0:
 		b.giveUp(r, now)
-		return
-	}
-	if len(b.held) > 2*len(b.requests) { // a list may not come for hours
-		b.held = slices.DeleteFunc(b.held, func(id RequestID) bool { return b.requests[id] == nil })
+	default:
+		if len(b.held) > 2*len(b.requests) { // a list may not come for hours
+			b.held = slices.DeleteFunc(b.held, func(id RequestID) bool { return b.requests[id] == nil })
+		}
+		b.held = append(b.held, r.id)
+		b.after(r, (r.deadline-now)/2, timerHeld)
 	}
-	b.held = append(b.held, r.id)
-	b.host.After((r.deadline-now)/2, uint64(r.id)<<timerBits|timerHeld)
+}
+
+// after asks for a timer of r.
+func (b *Balancer) after(r *request, d time.Duration, kind uint64) {
+	b.host.After(d, uint64(r.id)<<timerBits|kind)
 }
 
 // release tries the held requests again.
@@ -513,25 +511,13 @@
 
 // mayRepeat tells whether the semantics of r allow an attempt at e.
 func (b *Balancer) mayRepeat(r *request, e *endpoint, now time.Duration) bool {
-	c := &b.cfg.Classes[r.class]
-	if c.Semantics == Safe {
-		return true
-	}
-	a := r.firstRun()
-	if a == nil {
+	c, a := &b.cfg.Classes[r.class], r.firstRun()
+	if c.Semantics == Safe || a == nil {
 		return true
 	}
-	if c.Semantics == Unsafe || now-a.sent >= c.MemorySpan {
-		return false
-	}
 	was := &b.eps[a.endpoint]
-	switch c.Scope {
-	case ScopeZone:
-		return e.Zone == was.Zone
-	case ScopeCell:
-		return e.Cell == was.Cell
-	}
-	return true
+	return c.Semantics == Keyed && now-a.sent < c.MemorySpan &&
+		(c.Scope != ScopeZone || e.Zone == was.Zone) && (c.Scope != ScopeCell || e.Cell == was.Cell)
 }
 
 // send is the one gate through which every attempt leaves.
@@ -622,28 +608,22 @@
 
 // next decides what follows a failed attempt.
 func (b *Balancer) next(r *request, result Result, now time.Duration) {
-	if now >= r.deadline {
-		if r.out == 0 {
-			b.fail(r)
-		}
-		return
-	}
-	if b.retryTokens >= 1 {
+	switch {
+	case now < r.deadline && b.retryTokens >= 1:
 		b.retryTokens--
 		b.try(r, now)
-		return
-	}
-	if r.out > 0 {
-		return
-	}
-	// Out of budget: what never ran waits its turn, which slows the callers above.
-	delay := retryDelay << min(len(r.attempts), 5)
-	delay += time.Duration(b.rng.Float64() * float64(delay))
-	if !result.neverRan() || now+delay-r.arrived > b.patience(r) {
-		b.giveUp(r, now)
-		return
+	case r.out > 0:
+	case now >= r.deadline:
+		b.fail(r)
+	default: // out of budget: what never ran waits its turn, which slows the callers above
+		delay := retryDelay << min(len(r.attempts), 5)
+		delay += time.Duration(b.rng.Float64() * float64(delay))
+		if !result.neverRan() || now+delay-r.arrived > b.patience(r) {
+			b.giveUp(r, now)
+			return
+		}
+		b.after(r, delay, timerHeld)
 	}
-	b.host.After(delay, uint64(r.id)<<timerBits|timerHeld)
 }
 
 // retryDelay is the first wait of a request that was turned away, doubled each time.
@@ -723,20 +703,14 @@
 		b.host.Watch()
 		return
 	}
-	r := b.requests[RequestID(token>>timerBits)]
-	if r == nil || r.closed {
-		return
-	}
-	switch token & (1<<timerBits - 1) {
-	case timerDeadline:
-		b.giveUp(r, now)
-	case timerLate:
+	r, kind := b.requests[RequestID(token>>timerBits)], token&(1<<timerBits-1)
+	switch {
+	case r == nil || r.closed:
+	case kind == timerLate:
 		b.noteLate(now, r)
-	case timerHeld:
-		if len(r.attempts) == 0 {
-			b.giveUp(r, now)
-		} else if r.out == 0 {
-			b.try(r, now)
-		}
+	case kind == timerDeadline || len(r.attempts) == 0:
+		b.giveUp(r, now)
+	case r.out == 0: // held
+		b.try(r, now)
 	}
 }
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -49,12 +49,11 @@
 // open is how many connections to e are surely open: those that flights used
 // at once within the last idle span.
 func (e *endpoint) open(now, idle time.Duration) int {
-	if now-e.peakSpan >= idle/2 {
-		e.peaks[1] = e.peaks[0]
-		if now-e.peakSpan >= idle {
+	if past := now - e.peakSpan; past >= idle/2 {
+		e.peaks = [2]int{len(e.flights), e.peaks[0]}
+		if past >= idle {
 			e.peaks[1] = len(e.flights)
 		}
-		e.peaks[0] = len(e.flights)
 		e.peakSpan = now
 	}
 	return max(e.peaks[0], e.peaks[1])
@@ -124,8 +123,7 @@
 	f.n, f.at = min(f.count(now)+n, failureMost), now
 }
 
-// served halves the count. Were it cleared, an endpoint that is sick rather than
-// down, and fails three of four calls at once, would win back all each time.
+// served halves the count: one that fails three of four calls must not win back all.
 func (f *failures) served(now time.Duration) {
 	f.n, f.at = f.count(now)/2, now
 }
@@ -169,22 +167,17 @@
 // growth is the share of its full capacity that an endpoint surely has: it
 // starts at ColdShare and grows evenly over RampTime.
 func (b *Balancer) growth(e *endpoint, now time.Duration) float64 {
-	if e.Since == 0 {
-		return 1
-	}
 	age := now - e.Since
-	if age >= b.cfg.RampTime {
+	if e.Since == 0 || age >= b.cfg.RampTime {
 		return 1
 	}
 	return b.cfg.ColdShare + (1-b.cfg.ColdShare)*float64(max(age, 0))/float64(b.cfg.RampTime)
 }
 
-// coldAllowed tells whether the cold budget of e has room for one more send, having
-// topped it up for the time since the last draw, if e was within its reach. It grows at
-// the even share of this balancer's own served attempts that e would get by its present
-// capacity beside the others in reach, times half the multiple that pushes e over: all
-// balancers together load a server that has just started half as much as brings it down
-// (rule 4); the rest is for chance, unequal callers and slow servers.
+// coldAllowed tells whether the cold budget of e has room for one more send, topped up
+// for the time since the last draw that reached it. It grows at the even share of this
+// balancer's served attempts that e would get by its present capacity, times half the
+// multiple that pushes e over (rule 4): the rest is for chance and unequal callers.
 func (b *Balancer) coldAllowed(e *endpoint, now time.Duration) bool {
 	g := b.growth(e, now)
 	if g == 1 {
@@ -264,10 +257,9 @@
 // with a fifth of it lost.
 const subsetMin = 10
 
-// subsetSize is how many sound endpoints this balancer draws from. A thin stream
-// beside a large fleet would use each connection too seldom to keep it and know
-// each server too little. It draws from a stretch of the ring that is its own, as
-// long as its attempts out at once; a burst widens it.
+// subsetSize is how many sound endpoints this balancer draws from: a stretch of the
+// ring that is its own, as long as its attempts out at once, as a thin stream would
+// know each server of a large fleet too little. A burst widens it.
 func (b *Balancer) subsetSize(now time.Duration) int {
 	w := math.Exp(-float64(now-b.outAt) / float64(rateSpan))
 	b.outMean = b.outMean*w + float64(b.outTotal)*(1-w)
@@ -288,9 +280,8 @@
 	return &b.zones[zone]
 }
 
-// crowding guards against herding, as what was sent since an endpoint's last round
-// trip shows in no mean yet: where more of ours are out at e than on average in the
-// subset, its mean grows by that ratio.
+// crowding guards against herding, as what is out shows in no mean yet: where more of
+// ours are out at e than on average in the subset, its mean grows by that ratio.
 func (b *Balancer) crowding(e *endpoint, among int) float64 {
 	even := float64(b.outTotal) / float64(among)
 	return max(1, (1+float64(len(e.flights)))/(1+even))
@@ -373,8 +364,7 @@
 	return r.sum / rateSpan.Seconds()
 }
 
-// mean is perSecond over the time for which anything is known, and no longer
-// low. It may be high by chance within the first quarter of rateSpan.
+// mean is perSecond over the time for which anything is known, and not low.
 func (r *rate) mean(now time.Duration) float64 {
 	known := max(now-r.start, rateSpan/4)
 	return r.perSecond(now) / (1 - math.Exp(-float64(known)/float64(rateSpan)))
