--- a/balance/balance.go
+++ b/balance/balance.go
@@ -199,7 +199,7 @@
 	votes int           // for it
 }
 
-const classMemory = 200 // samples over which a class's mean forgets
+const classMemory = 200 // samples over which a class's mean forgets, four times as many as the spread
 
 // Balancer decides for one caller. Make it with New.
 type Balancer struct {
@@ -215,6 +215,7 @@
 	ready        []int            // endpoints that the list calls ready, by hash: the ring of subsets
 	draws        [2]time.Duration // when the last two were made from a subset
 	memory       time.Duration    // how long round trips are remembered
+	spread       float64          // variance of a round trip over the square of its endpoint's mean
 	near, walked float64          // sum of growth over the stretch of the last subset, and of the one being gathered
 
 	requests map[RequestID]*request
@@ -252,6 +253,7 @@
 		host:     host,
 		rng:      rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		byAddr:   map[string]int{},
+		spread:   1,
 		requests: map[RequestID]*request{},
 	}
 	for _, c := range cfg.Classes {
@@ -265,8 +267,7 @@
 	return b, nil
 }
 
-// Retune takes up new settings, all or none. Classes stand, and more come with
-// AddClass; so does what has been learnt.
+// Retune takes up new settings, all or none; classes and what has been learnt stand.
 func (b *Balancer) Retune(cfg Config) error {
 	cfg.Classes = b.cfg.Classes
 	if err := cfg.validate(); err != nil {
@@ -279,8 +280,7 @@
 	return nil
 }
 
-// Learnt is what is known of a class or an endpoint: its mean in seconds, of how
-// many samples, and its failures.
+// Learnt is of a class or an endpoint: its mean in seconds, of how many samples, failures.
 type Learnt struct{ Mean, N, Failures float64 }
 
 // Memory is what a Balancer has learnt, for one that goes on in its place.
@@ -320,8 +320,7 @@
 	}
 }
 
-// AddClass makes room for one more class of requests and returns its number.
-// What has been learnt of the others, and of the endpoints, stands.
+// AddClass makes room for one more class and returns its number; all that is learnt stands.
 func (b *Balancer) AddClass(c Class) (int, error) {
 	i := len(b.classes)
 	switch {
@@ -498,9 +497,8 @@
 	return b.eps[i].mean(now)*b.ratio(r.class)/2 > (r.deadline - now).Seconds()
 }
 
-// maySend is the condition of every send: the request is open and in time,
-// the attempt limit holds, the endpoint is ready, the semantics permit it and
-// the cold budget has room. send checks it again, so that no path sends past it.
+// maySend is the condition of every send: open and in time, within the attempt limit, to
+// a ready endpoint, as semantics and cold budget permit. send checks it again.
 func (b *Balancer) maySend(r *request, i int, now time.Duration) bool {
 	e := &b.eps[i]
 	if r.closed || now >= r.deadline || len(r.attempts) >= b.cfg.AttemptLimit || e.State != Ready || r.out > 0 && !b.cfg.MayDuplicate {
@@ -644,7 +642,12 @@
 		b.servedRate.add(now, 1)
 		b.aimRate.add(now, b.cfg.Classes[r.class].Aim.Seconds())
 		e.servedAt = now
-		e.addSample(now, elapsed.Seconds()/a.ratio)
+		took := elapsed.Seconds() / a.ratio
+		if e.n > 0 {
+			d := took*float64(e.n)/e.sum - 1
+			b.spread += (min(d*d, 4) - b.spread) / (classMemory / 4)
+		}
+		e.addSample(now, took)
 		e.failures.served(now)
 		*b.zoneFailures(e.Zone) = failures{}
 		c := &b.classes[r.class]
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -83,8 +83,7 @@
 	e.noConnAt = now
 }
 
-// Caution after a refused connection: about an idle connection's time to
-// close at first, and not so long that a returned server stays unused.
+// Caution after a refused connection: at first an idle connection's time to close.
 const (
 	noConnMin = 500 * time.Millisecond
 	noConnMax = 4 * time.Second
@@ -271,14 +270,13 @@
 	once := b.cfg.Classes[r.class].Semantics == Unsafe
 	for k := range b.cands {
 		c := &b.cands[k]
-		e := &b.eps[c.index]
-		n := float64(e.n)
+		e, n := &b.eps[c.index], float64(b.eps[c.index].n)
 		alike := best * b.crossing(c.index)
 		if e.n == 0 { // unsampled counts as t_b, or as what is out shows
 			c.mean, n = max(c.mean, alike), unsampled
 		}
 		thin := max(0, 1-n/thinWindow)
-		c.noise, c.weight = thin/n, 1
+		c.noise, c.weight = b.spread*thin/n, 1
 		if c.mean > best {
 			c.weight = best * (n + thin*shrink) / (n*c.mean + thin*shrink*alike)
 		}
@@ -316,8 +314,7 @@
 // longer single servers.
 const zoneSuspect = 3
 
-// zoneFailures counts what failed in a zone since anything there was served: each
-// endpoint of one that is cut off would have to fail before the draws leave it.
+// zoneFailures counts what failed in a zone since anything there was served.
 func (b *Balancer) zoneFailures(zone int) *failures {
 	for zone >= len(b.zones) {
 		b.zones = append(b.zones, failures{})
