Discovery: a silence is over within the drain grace; a zone may have no name

Cause, by reading: a pushed watch waited 2 s and got 1 s more, with up to 1 s of back-off behind it, so that a call that was open when the agent fell silent could hang for over 3 s after its return, when all that the agent has counts as told and the drain grace is 2 s. Three silences in a row took 9 to 12 s, where 6 s and the grace are allowed. Where discovery is asked, a watch that fell silent went through the Balancer's back-off (3 to 15 s in a fleet of 300), and so did a new discovery named by a reload, which counts as heard 4 s after it. Ruled out: the order of old and new source (the old one goes on telling), torn lists (the last one stands).

Change: waits of a pushed watch follow from the drain grace of the settings (0.5 s and 0.25 s at 2 s), the back-off ends at 0.1 s, a call after a failed one does not wait for news; an asked watch that fell silent is opened anew once at once, and a source that has never told is asked until it does.

Seen in a play: a site whose one zone has no name; every sidecar ended at the start with 'setting Zones.0: want a name'.

--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -34,6 +34,7 @@
 	Tenants     map[string]int
 	Zones       map[string]int
 	DialTimeout time.Duration // a connection that is not up within it never will be
+	DrainGrace  time.Duration // after the news of a drain; 0 if not told
 
 	// What the goal charges for new connections and for open ones, see upstream.KeepIdle.
 	HandshakePrice, ConnectionPrice float64
@@ -200,10 +201,11 @@
 	c.Balance = s.Balance()
 	c.Tier = s.Integer("Tier")
 	c.DialTimeout = s.Time("Limits.ConnectTimeoutS")
+	c.DrainGrace = s.Time("Obligations.DrainGraceS")
 	c.HandshakePrice, c.ConnectionPrice = s.ConnPrices()
 	c.Classes = names(s, "RequestClasses", ".Name")
 	c.Tenants = names(s, "Tenants", ".Name")
-	c.Zones = names(s, "Zones", "")
+	c.Zones = names(s, "Zones", "") // a deployment without zones may have one without a name
 	for _, path := range []string{"Me", "NInstances", "Zone", "Tier", "Limits.ConnectTimeoutS", "Limits.ConnIdleS", "Limits.TryLimit", "RequestClasses.count", "Zones.count"} {
 		if _, ok := values[path]; !ok {
 			s.Fail(path, "a value")
@@ -224,6 +226,7 @@
 		{"Me", b.Index < max(b.Instances, 1), "less than NInstances"},
 		{"Obligations.RampTimeS", b.RampTime >= 0, "0 or more"},
 		{"Obligations.OverloadForS", b.OverloadFor >= 0, "0 or more"},
+		{"Obligations.DrainGraceS", c.DrainGrace >= 0, "0 or more"},
 		{"Obligations.FallMultiple", b.FallMultiple >= 0, "0 or more"},
 		{"Obligations.ColdShare", b.ColdShare >= 0 && b.ColdShare <= 1, "0 to 1"},
 		{"Obligations.AskWithinS", b.AskWithin > 0 || !b.AskDiscovery && b.AskWithin == 0, "more than 0"},
@@ -259,7 +262,7 @@
 	for i := range s.Integer(list + ".count") {
 		path := list + "." + strconv.Itoa(i) + field
 		name := s.Text(path)
-		if name == "" {
+		if name == "" && field != "" {
 			s.Fail(path, "a name")
 		}
 		all[name] = i
--- a/internal/config/product.go
+++ b/internal/config/product.go
@@ -102,7 +102,7 @@
 	case n.File != "":
 		return &nodes.File{Path: n.File, Every: n.Refresh}
 	case n.Discovery != "":
-		return nodes.NewDiscovery(n.Discovery, nodes.PushWait)
+		return nodes.NewDiscovery(n.Discovery, nodes.PushTimes(0))
 	}
 	return n.Fixed
 }
--- a/internal/nodes/discovery.go
+++ b/internal/nodes/discovery.go
@@ -1,7 +1,9 @@
 package nodes
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -9,21 +11,46 @@
 	"time"
 )
 
+// Times are how long calls of a Discovery may take.
+type Times struct {
+	Wait   time.Duration // that a watch may wait for news
+	Answer time.Duration // that it gets beyond its wait, and a connection to come up
+	List   time.Duration // that a call for the whole list gets, or one that does not wait
+}
+
+// usualGrace is the drain grace where none is told.
+const usualGrace = 2 * time.Second
+
+// PushTimes are those where an agent on this machine answers at no cost, and grace is
+// how long after the news of a drain the last request may go to it.
+//
+// A call that was open when the agent fell silent may never be answered, while what the
+// agent has to tell counts as told from the moment it is back. So no call may hang for as
+// long as half of the grace, and a silence that comes twice, or three times, in a row is
+// still over within the 6 s after which the news counts as told.
+func PushTimes(grace time.Duration) Times {
+	quarter := min(max(cmp.Or(grace, usualGrace)/4, leastWait), mostPushWait)
+	return Times{Wait: quarter, Answer: max(quarter/2, leastWait), List: max(quarter, 2*leastWait)}
+}
+
+// AskTimes are those where one service answers all sidecars: each call costs it a share
+// of a fixed capacity, so they are few, and it works through them in turn.
+func AskTimes() Times {
+	return Times{
+		Wait: 20 * time.Second,
+		// Half of the 2 s after which the news counts as told, so that a second
+		// call can still bring it.
+		Answer: time.Second,
+		// Of the 6 s after which the whole list counts as told.
+		List: 2 * time.Second,
+	}
+}
+
 const (
-	// PushWait is how long a watch may wait where an agent on this machine
-	// answers at no cost. It is short because a silent agent is found out only
-	// after it, and what it had to tell counts as told 2 s after it.
-	PushWait = 2 * time.Second
-	// AskWait is the same where one service answers all sidecars: each call
-	// costs it a share of a fixed capacity, so they are few.
-	AskWait = 20 * time.Second
-
-	// answerTime is what a call gets beyond its wait: half of the 2 s after
-	// which the news counts as told, so that a second call can still bring it.
-	answerTime = time.Second
-	// listTime is what a call for the whole list gets, of the 6 s after which
-	// it counts as told; asked discovery works through calls in turn.
-	listTime = 2 * time.Second
+	// leastWait is what an agent on this machine always gets: a process that has a part
+	// of a core may not run for some of it.
+	leastWait    = 100 * time.Millisecond
+	mostPushWait = 500 * time.Millisecond
 
 	// pace is the least time between calls that bring nothing, well inside the
 	// 200 ms after which a watch counts as ended.
@@ -37,21 +64,21 @@
 type Discovery struct {
 	addr    string
 	base    string
-	wait    time.Duration
+	times   Times
 	http    http.Client
 	index   uint64
 	started bool // index is of an answer of this service
+	failed  bool // the last call has
 }
 
-// NewDiscovery returns a Discovery of the discovery at addr, whose watches wait for
-// as long as wait.
-func NewDiscovery(addr string, wait time.Duration) *Discovery {
+// NewDiscovery returns a Discovery of the discovery at addr.
+func NewDiscovery(addr string, times Times) *Discovery {
 	return &Discovery{
-		addr: addr,
-		base: "http://" + addr + "/api/targets",
-		wait: wait,
+		addr:  addr,
+		base:  "http://" + addr + "/api/targets",
+		times: times,
 		http: http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: answerTime}).DialContext,
+			DialContext:         (&net.Dialer{Timeout: times.Answer}).DialContext,
 			MaxIdleConnsPerHost: 1,
 		}},
 	}
@@ -60,6 +87,13 @@
 // String implements Source.
 func (c *Discovery) String() string { return "discovery " + c.addr }
 
+// Silent tells of a failure to follow whether nothing came at all, which may be a
+// connection that has fallen silent and no word of discovery.
+func Silent(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
 // Close lets go of the connection that waits for the next call.
 func (c *Discovery) Close() { c.http.CloseIdleConnections() }
 
@@ -70,6 +104,7 @@
 	for {
 		asked, before := time.Now(), c.index
 		list, err := c.next(ctx)
+		c.failed = err != nil
 		if err != nil {
 			return err
 		}
@@ -89,8 +124,14 @@
 	if !c.started {
 		return c.whole(ctx)
 	}
-	url := fmt.Sprintf("%s?after=%d&wait_ms=%d", c.base, c.index, c.wait.Milliseconds())
-	list, err := c.call(ctx, url, c.wait+answerTime)
+	wait, limit := c.times.Wait, c.times.Wait+c.times.Answer
+	if c.failed {
+		// What was missed is to be had at once or not at all; a wait would only hide
+		// that this call is not heard either.
+		wait, limit = 0, c.times.List
+	}
+	url := fmt.Sprintf("%s?after=%d&wait_ms=%d", c.base, c.index, wait.Milliseconds())
+	list, err := c.call(ctx, url, limit)
 	if err != nil {
 		return List{}, err
 	}
@@ -104,7 +145,7 @@
 }
 
 func (c *Discovery) whole(ctx context.Context) (List, error) {
-	list, err := c.call(ctx, c.base, listTime)
+	list, err := c.call(ctx, c.base, c.times.List)
 	if err != nil {
 		return List{}, err
 	}
--- a/internal/pool/members.go
+++ b/internal/pool/members.go
@@ -13,11 +13,21 @@
 	"gorselink/internal/upstream"
 )
 
-// Waits between calls of a pushing agent that fail: its first new answer
-// should not be waited for long, and a dead one not be called without end.
+// Waits between calls of a pushing agent that fail. What it has counts as told from the
+// moment that it is back, and the call after the wait brings it; the drains that it tells
+// then leave no more time than a part of their grace, see nodes.PushTimes.
 const (
 	backoffMin = 50 * time.Millisecond
-	backoffMax = time.Second
+	backoffMax = 100 * time.Millisecond
+)
+
+// Waits of a source that is asked after a silence, and before it has told anything at
+// all; those after failures that it has told itself are the Balancer's.
+const (
+	silenceMin = 50 * time.Millisecond
+	silenceMax = 250 * time.Millisecond
+	beginMin   = 300 * time.Millisecond
+	beginMax   = time.Second
 )
 
 // source is a node source that is being followed.
@@ -115,31 +125,45 @@
 		}
 		src.fails(p.cfg.Name, err)
 		delay := min(backoffMin<<min(src.failed-1, 8), backoffMax)
-		select {
-		case <-ctx.Done():
-		case <-time.After(delay/2 + time.Duration(jitter.Int64N(int64(delay/2)))):
-		}
+		pause(ctx, delay/2+time.Duration(jitter.Int64N(int64(delay/2))))
 	}
 }
 
 // followAsked watches when the Balancer wants it and tells it of failures: one
-// discovery answers all sidecars, so when to ask again is a decision.
+// discovery answers all sidecars, so when to ask again is a decision. Two cases are none.
+// A watch that fell silent is broken without a word, and what it missed counts as told a
+// second or two after its wait: it is opened anew at once. And one that a reload has named
+// counts as heard 4 s later, whether or not it answers: it is asked until it does.
 func (p *Pool) followAsked(ctx context.Context, src *source) {
 	defer src.Close()
-	for {
+	jitter := rand.New(rand.NewPCG(p.cfg.Seed, uint64(src.number)))
+	for heard := false; ; {
 		select {
 		case <-ctx.Done():
 			return
 		case <-src.watch:
 		}
-		err := src.Follow(ctx, func(l nodes.List) {
-			src.tells(p.cfg.Name)
-			p.told(src, l)
-		})
-		if ctx.Err() != nil {
-			return
+		for silent := 0; ; {
+			err := src.Follow(ctx, func(l nodes.List) {
+				src.tells(p.cfg.Name)
+				p.told(src, l)
+				heard, silent = true, 0
+			})
+			if ctx.Err() != nil {
+				return
+			}
+			src.fails(p.cfg.Name, err)
+			least, most := beginMin, beginMax
+			if heard || src.number == 1 {
+				if silent++; silent > 1 || !nodes.Silent(err) {
+					break
+				}
+				least, most = silenceMin, silenceMax
+			}
+			if !pause(ctx, least+time.Duration(jitter.Int64N(int64(most-least)))) {
+				return
+			}
 		}
-		src.fails(p.cfg.Name, err)
 		p.mu.Lock()
 		if p.sources[len(p.sources)-1] == src {
 			p.update(balance.Failed, nodes.List{})
@@ -148,6 +172,16 @@
 	}
 }
 
+// pause waits for d and tells whether ctx goes on.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // told takes what a source tells. The first word of a new one is its whole list
 // and ends the source before, whose changes cannot be applied to that list.
 func (p *Pool) told(src *source, l nodes.List) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -341,11 +341,10 @@
 
 // discovery is the source that the configuration names.
 func discovery(cfg *config.Config) nodes.Source {
-	wait := nodes.PushWait
 	if cfg.Balance.AskDiscovery {
-		wait = nodes.AskWait
+		return nodes.NewDiscovery(cfg.Discovery, nodes.AskTimes())
 	}
-	return nodes.NewDiscovery(cfg.Discovery, wait)
+	return nodes.NewDiscovery(cfg.Discovery, nodes.PushTimes(cfg.DrainGrace))
 }
 
 // form is how requests are judged by cfg, whose classes the pool learns of.
