Callers that leave are noticed behind early bytes and in long bodies; ends without a gap

Cause, by reading: caller.watchOut stopped at the first early byte, so that a request went on whose caller had sent more and left; caller.upload did not watch at all.

Change: early bytes are read and dropped until the end shows; who uploads is looked at every 25 ms.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -261,10 +261,7 @@
 			return nil, err
 		}
 	}
-	if err := b.Retune(cfg); err != nil {
-		return nil, err
-	}
-	return b, nil
+	return b, b.Retune(cfg)
 }
 
 // Retune takes up new settings, all or none; classes and what has been learnt stand.
@@ -353,13 +350,12 @@
 	b.forget(now)
 	b.ready, b.local, b.near = b.ready[:0], 0, 0
 	for i := range b.eps {
-		if b.eps[i].State != Ready {
-			continue
-		}
-		b.ready = append(b.ready, i)
-		b.near += b.growth(&b.eps[i], now) // until a subset is gathered
-		if b.crossing(i) == 1 {
-			b.local++
+		if b.eps[i].State == Ready {
+			b.ready = append(b.ready, i)
+			b.near += b.growth(&b.eps[i], now) // until a subset is gathered
+			if b.crossing(i) == 1 {
+				b.local++
+			}
 		}
 	}
 	// By hash, the own zone first where crossings are priced.
@@ -537,6 +533,16 @@
 	return true
 }
 
+// Confirm tells whether an attempt that could not begin at once may still begin.
+func (b *Balancer) Confirm(now time.Duration, id RequestID, number int) bool {
+	r := b.requests[id]
+	if r == nil || r.closed || now >= r.deadline {
+		return false
+	}
+	e := &b.eps[r.attempts[number].endpoint]
+	return e.State == Ready && b.mayRepeat(r, e, now)
+}
+
 // refuse is the gate for refusals: while a repeat is harmless anywhere.
 func (b *Balancer) refuse(r *request, now time.Duration) bool {
 	c := &b.cfg.Classes[r.class]
@@ -617,7 +623,7 @@
 	default: // out of budget: what never ran waits its turn, which slows the callers above
 		delay := retryDelay << min(len(r.attempts), 5)
 		delay += time.Duration(b.rng.Float64() * float64(delay))
-		if !result.neverRan() || now+delay-r.arrived > b.patience(r) {
+		if !result.neverRan() || now+delay-r.arrived > min(b.cfg.Classes[r.class].Aim, r.deadline-r.arrived)/2 {
 			b.giveUp(r, now)
 			return
 		}
@@ -628,11 +634,6 @@
 // retryDelay is the first wait of a request that was turned away, doubled each time.
 const retryDelay = 10 * time.Millisecond // about what a queue slot takes to come free
 
-// patience is how long a request is kept for a further try.
-func (b *Balancer) patience(r *request) time.Duration {
-	return min(b.cfg.Classes[r.class].Aim, r.deadline-r.arrived) / 2
-}
-
 // learn books an outcome with its endpoint and class.
 func (b *Balancer) learn(now time.Duration, r *request, a *attempt, number int, result Result, elapsed time.Duration) {
 	e := &b.eps[a.endpoint]
@@ -674,10 +675,8 @@
 func (b *Balancer) ratio(class int) float64 {
 	sum, n := 0.0, 0.0
 	for i := range b.classes {
-		if b.classes[i].n > 0 {
-			sum += b.classes[i].mean
-			n++
-		}
+		sum += b.classes[i].mean
+		n += min(b.classes[i].n, 1)
 	}
 	c := &b.classes[class]
 	if c.n == 0 || c.mean <= 0 {
--- a/internal/front/http/caller.go
+++ b/internal/front/http/caller.go
@@ -94,6 +94,7 @@
 	// Of the request that is out.
 	watch   *time.Timer // begins watchOut, which tells watched
 	watched chan bool   // whether the caller has left
+	early   bool        // bytes came before the answer, so that the connection ends with it
 	pool    *pool.Pool
 	request *pool.Request
 	reply   chan pool.Answer
@@ -101,6 +102,11 @@
 	state  state // guarded by Callers.mu, as are
 	place  ring.Link[*caller]
 	placed bool // it stands in its state; false when given up
+
+	// While a request is coming: who needs the place has asked for it, and settled is
+	// closed when the state changes.
+	hurried bool
+	settled chan struct{}
 }
 
 func newCaller(cs *Callers, nc net.Conn) *caller {
@@ -116,13 +122,13 @@
 		callers: cs,
 		conn:    nc,
 		look:    sock.New(nc),
-		intake:  intake{conn: nc},
 		born:    time.Now(),
 		gone:    make(chan struct{}),
 		done:    make(chan struct{}),
 		watched: make(chan bool, 1),
 		reply:   make(chan pool.Answer, 1),
 	}
+	c.intake.conn = nc
 	c.in = bufio.NewReaderSize(&c.intake, framing.MaxHead)
 	c.place.Of = c
 	c.watch = time.AfterFunc(time.Hour, c.watchOut)
@@ -176,9 +182,19 @@
 		if err == nil {
 			return true
 		}
-		if ends || !errors.Is(err, os.ErrDeadlineExceeded) || !c.woken(st) {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return false
 		}
+		if ends || !c.woken(st) {
+			// A request that has come while the time ran out is whole, and counts as
+			// taken. Under a deadline that has passed a read does not see it.
+			c.conn.SetReadDeadline(time.Now().Add(lastLook))
+			if !sock.Waiting(c.conn) {
+				return false
+			}
+			_, err := c.in.Peek(1)
+			return err == nil
+		}
 		// Woken by Drain or Ebb before its time, it has one last look, and by
 		// PassOn it goes on elsewhere.
 	}
@@ -319,19 +335,17 @@
 	a := <-r.Answer()
 	left := false
 	if c.watch.Stop() {
-		if c.look.State() == sock.Bytes {
-			c.in.Peek(1) // what came too early, see below
-		}
+		c.early = c.look.State() == sock.Bytes
 	} else {
 		c.conn.SetReadDeadline(past)
 		left = <-c.watched
 	}
 	c.pool, c.request = nil, nil // an idle connection holds no body
-	goesOn = c.give(req, answerOf(a, p), !left)
+	goesOn = c.give(req, answerOf(a, p), !left && !c.early)
 	if a.Up != nil {
 		a.Up.Release()
 	}
-	if c.in.Buffered() > 0 {
+	if c.early {
 		c.linger() // what came too early must not eat the answer
 	}
 	return true, goesOn
@@ -341,8 +355,11 @@
 // whether another may follow on the connection.
 func (c *caller) upload(req *Request, p *Plan, r *pool.Request) (goesOn bool) {
 	u := r.Out.Upload
+	answered := make(chan struct{})
+	go c.watchUpload(p.Pool, r, answered)
 	p.Pool.Attempt(r)
 	a := <-r.Answer()
+	close(answered)
 	<-u.Over // an attempt may still read from the caller
 	c.intake.end()
 	if a.Up != nil {
@@ -370,18 +387,69 @@
 // be spared another attempt.
 const watchAfter = 5 * time.Millisecond
 
-// watchOut waits for what comes from the caller while its request is out. Nothing
-// should come before the answer, so that the wait tells when the caller has gone
-// away; the answer ends it.
+// watchOut waits for the caller to go away while its request is out. Nothing should come
+// before the answer. What does is of no use, as callers send one request at a time, and
+// hides a close behind it: it is read and dropped, or one early byte would keep a request
+// going whose caller has left. The answer ends the wait.
 func (c *caller) watchOut() {
-	_, err := c.in.Peek(1)
-	left := err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	left := c.awaitLeave()
 	if left {
 		c.pool.Withdraw(c.request)
 	}
 	c.watched <- left
 }
 
+const (
+	// dropBurst is what of a caller's early bytes is dropped without a pause, and
+	// dropPiece what is between two pauses then: a caller that floods costs some per
+	// cent of a core, and one that has filled its socket's buffers and left is seen to
+	// have in a moment.
+	dropBurst  = 1 << 20
+	dropPiece  = 64 << 10
+	earlyPause = time.Millisecond
+)
+
+// awaitLeave tells whether the caller has left before a read deadline ends the wait.
+func (c *caller) awaitLeave() bool {
+	_, err := c.in.Peek(1)
+	if err == nil {
+		c.early = true
+		buf := scratch.Get().(*[]byte)
+		defer scratch.Put(buf)
+		for n, next := 0, dropBurst; err == nil; {
+			var k int
+			k, err = c.in.Read(*buf)
+			if n += k; n >= next {
+				next = n + dropPiece
+				time.Sleep(earlyPause)
+			}
+		}
+	}
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// uploadLook is how often a caller is looked at whose body waits to be sent on, or is.
+const uploadLook = 25 * time.Millisecond
+
+// watchUpload withdraws a request that streams once its caller has left, until it is
+// answered. Its bytes are the attempt's to read, so that only a look at the socket tells.
+func (c *caller) watchUpload(p *pool.Pool, r *pool.Request, answered <-chan struct{}) {
+	tick := time.NewTicker(uploadLook)
+	defer tick.Stop()
+	for {
+		select {
+		case <-answered:
+			return
+		case <-tick.C:
+		}
+		if sock.Left(c.conn) {
+			r.Out.Upload.Leave()
+			p.Withdraw(r)
+			return
+		}
+	}
+}
+
 // mostAnew bounds how often a request is judged anew: each time its pool has
 // been replaced in the moment since it was judged.
 const mostAnew = 4
--- a/internal/front/http/callers.go
+++ b/internal/front/http/callers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gorselink/internal/ring"
+	"gorselink/internal/sock"
 )
 
 // Callers holds the connections of callers, a given number at most. At the
@@ -33,7 +34,8 @@
 	ebbing  bool                       // so do those that have brought a request, for now
 	pass    Pass                       // takes connections on which no request is open; nil for none
 	last    time.Time                  // answers are given by then; zero for no bound
-	empty   chan struct{}              // closed when closing and nothing is open
+	cut     bool                       // no request is read any more
+	empty   chan struct{}              // told when closing and nothing is open
 }
 
 // state is what a caller's connection is used for.
@@ -53,7 +55,7 @@
 // NewCallers returns Callers that hold at most so many connections, whose
 // requests judge assigns.
 func NewCallers(judge Judge, most int, times Times) *Callers {
-	return &Callers{judge: judge, max: most, times: times.orDefault(), empty: make(chan struct{})}
+	return &Callers{judge: judge, max: most, times: times.orDefault(), empty: make(chan struct{}, 1)}
 }
 
 // Limit changes how many connections there may be. Those over a lower bound
@@ -101,6 +103,9 @@
 // that others give back: long enough not to spin, short beside any deadline.
 const acceptPause = 5 * time.Millisecond
 
+// hurryTime is how long a connection whose request is coming may take to give way.
+const hurryTime = 50 * time.Millisecond
+
 // admit books a new connection, or closes it and returns nil.
 func (cs *Callers) admit(nc net.Conn) *caller {
 	cs.mu.Lock()
@@ -111,6 +116,20 @@
 			nc.Close()
 			return nil
 		}
+		if victim.state == reading {
+			// What it has sent may be whole by now, and then it is owed an answer: it is
+			// told off by its own goroutine, or turns out to be taken.
+			settled := make(chan struct{})
+			victim.hurried, victim.settled = true, settled
+			victim.intake.stop()
+			cs.mu.Unlock()
+			select {
+			case <-settled:
+			case <-time.After(hurryTime): // it cannot write; another one may give way
+			}
+			cs.mu.Lock()
+			continue
+		}
 		victim.leave()
 		cs.open--
 		close(victim.gone)
@@ -126,28 +145,42 @@
 	return c
 }
 
-// victim is the connection to give up, or nil; the mutex is held.
+// victim is the connection to give up, or nil; the mutex is held. One on which a request
+// has come that nobody has read yet is none, unless it has had its last answer.
 func (cs *Callers) victim() *caller {
 	for st := range taken {
-		if e := cs.places[st].Front(); e != nil {
-			return e.Of
+		for e := cs.places[st].Front(); e != nil; e = cs.places[st].Next(e) {
+			if st == rejected || st == reading && !e.Of.hurried || st != reading && !sock.Waiting(e.Of.conn) {
+				return e.Of
+			}
 		}
 	}
 	return nil
 }
 
 // Drain lets go of all connections as soon as no request is open on them, and
-// waits until none is left. What is still taken is answered by last.
+// waits until none is left. What is still taken is answered by last. New ones go on
+// being taken; once no more can come, Drain again tells that the last has gone.
 func (cs *Callers) Drain(last time.Time) {
 	cs.mu.Lock()
+	defer cs.mu.Unlock()
 	cs.closing = true
 	cs.wake(unproven)
 	cs.wake(idle)
-	cs.tellEmpty()
-	cs.mu.Unlock()
-	select {
-	case <-cs.empty:
-	case <-time.After(time.Until(last)):
+	late := time.NewTimer(time.Until(last))
+	defer late.Stop()
+	for cs.open > 0 {
+		cs.mu.Unlock()
+		over := false
+		select {
+		case <-cs.empty:
+		case <-late.C:
+			over = true
+		}
+		cs.mu.Lock()
+		if over {
+			return
+		}
 	}
 }
 
@@ -188,7 +221,7 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.pass = pass
-	if pass != nil {
+	if pass != nil || cs.closing {
 		cs.wake(unproven)
 		cs.wake(idle)
 	}
@@ -268,8 +301,15 @@
 	if ends {
 		until = time.Now().Add(lastLook)
 	}
+	c.settle()
 	c.leave()
 	c.enter(st)
+	if st == reading {
+		c.intake.stopped.Store(cs.cut)
+	}
+	if st == reading && cs.cut {
+		until = past
+	}
 	c.conn.SetReadDeadline(until)
 	return true, ends
 }
@@ -301,12 +341,32 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	if c.placed { // else it was given up, and booked then
+		c.settle()
 		c.leave()
 		cs.open--
 	}
 	cs.tellEmpty()
 }
 
+// Cut ends the reading of requests: what has not come whole by now is told so, and the
+// kernel keeps nothing of it unanswered.
+func (cs *Callers) Cut() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.cut = true
+	for e := cs.places[reading].Front(); e != nil; e = cs.places[reading].Next(e) {
+		e.Of.intake.stop()
+	}
+}
+
+// settle tells who waits for c that it is not what it was; the mutex is held.
+func (c *caller) settle() {
+	if c.hurried {
+		c.hurried = false
+		close(c.settled)
+	}
+}
+
 // tellEmpty tells who waits for the end that there is none left; the mutex is
 // held.
 func (cs *Callers) tellEmpty() {
@@ -314,8 +374,7 @@
 		return
 	}
 	select {
-	case <-cs.empty: // has been told
-	default:
-		close(cs.empty)
+	case cs.empty <- struct{}{}:
+	default: // has been told
 	}
 }
--- a/internal/front/http/intake.go
+++ b/internal/front/http/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,6 +23,14 @@
 	conn  net.Conn
 	begun time.Time // of the body; zero for none
 	got   int64     // bytes of it
+
+	stopped atomic.Bool // nothing more is read of the request that is coming
+}
+
+// stop ends the reading of the request that is coming, from another goroutine.
+func (k *intake) stop() {
+	k.stopped.Store(true)
+	k.conn.SetReadDeadline(past)
 }
 
 func (k *intake) begin() { k.begun, k.got = time.Now(), 0 }
@@ -37,6 +46,9 @@
 		until = stall
 	}
 	k.conn.SetReadDeadline(until)
+	if k.stopped.Load() { // meanwhile, or before
+		k.conn.SetReadDeadline(past)
+	}
 	n, err := k.conn.Read(b)
 	k.got += int64(n)
 	return n, err
--- a/internal/front/http/seen.go
+++ b/internal/front/http/seen.go
@@ -30,11 +30,12 @@
 	return &IDs{span: 2 * longest, start: time.Now()}
 }
 
-// SetLongest changes the longest deadline from now on.
+// SetLongest tells the longest deadline of the requests that come from now on. Those that
+// are open may have longer, so that the span never becomes shorter.
 func (s *IDs) SetLongest(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.span = 2 * d
+	s.span = max(s.span, 2*d)
 }
 
 // isNew tells whether id has not come before, and books it.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -391,6 +391,8 @@
 
 // attempt is one that the Balancer wants made.
 type attempt struct {
+	pool          *Pool
+	of            *Request
 	number        int
 	node          string
 	sent, timeout time.Duration
@@ -413,7 +415,7 @@
 		timeout = r.Budget // from its last byte on
 		u.Begin = func() bool { return p.detach(r, a) }
 	}
-	up, result := p.conns.Do(&r.call, a.node, &r.Out, timeout)
+	up, result := p.conns.Do(&r.call, a.node, &r.Out, timeout, a)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if r.detached {
@@ -443,6 +445,21 @@
 	p.settle(r)
 }
 
+// confirmAfter is how long a decision stands without being asked for again.
+const confirmAfter = 10 * time.Millisecond
+
+// Confirm implements upstream.Confirmer. While a connection came up the node may have
+// been told to be draining, or the time in which it drops a repeat may have run out.
+func (a *attempt) Confirm() bool {
+	p := a.pool
+	if p.now()-a.sent < confirmAfter {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.balancer.Confirm(p.now(), a.of.id, a.number)
+}
+
 // host is the Pool as the Balancer sees it. The mutex is held in all its
 // methods, which only start work.
 type host Pool
@@ -451,7 +468,7 @@
 func (h *host) Send(id balance.RequestID, addr string, timeout time.Duration) {
 	p := (*Pool)(h)
 	r := p.requests[id]
-	a := attempt{number: r.attempts, node: addr, sent: p.now(), timeout: timeout}
+	a := attempt{pool: p, of: r, number: r.attempts, node: addr, sent: p.now(), timeout: timeout}
 	if r.attempts++; r.attempts == 1 {
 		p.stats.First++
 	} else {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -70,6 +70,7 @@
 type Sidecar struct {
 	place    Place
 	cfg      *config.Config // guarded by mu once it serves
+	longest  time.Duration  // the shortest that LongestDeadline has been
 	limits   config.Limits  // as they were at the start
 	listener net.Listener
 	up       *upstream.Pool
@@ -116,7 +117,7 @@
 
 func (s *Sidecar) run(ctx context.Context, reload <-chan os.Signal) error {
 	cfg := thrifty(s.cfg)
-	s.limits = cfg.Limits
+	s.limits, s.longest = cfg.Limits, cfg.LongestDeadline()
 	var console net.Listener
 	var err error
 	if addr := cfg.Console(s.place.Console); addr != "" {
@@ -211,7 +212,7 @@
 		case <-ctx.Done():
 		}
 	}
-	s.end()
+	s.end(served)
 	return nil
 }
 
@@ -396,7 +397,7 @@
 	}
 	s.judge.Set(form)
 	s.mu.Lock()
-	s.cfg = cfg
+	s.cfg, s.longest = cfg, min(s.longest, cfg.LongestDeadline())
 	s.mu.Unlock()
 	return nil
 }
@@ -404,21 +405,28 @@
 // end serves on until all that was taken is answered, and is over before the
 // kill could come. With a process that has taken this one's place, callers go
 // on there; without one, the front has to hear first that they must not come.
-func (s *Sidecar) end() {
+func (s *Sidecar) end(served <-chan error) {
 	s.mu.Lock()
 	s.ending = true
-	next, longest := s.after, s.cfg.LongestDeadline()
+	// Whoever kills this process may reckon with the deadlines before a reload, or with
+	// those after it.
+	next, longest := s.after, s.longest
 	if !s.serving {
 		next = nil
 	}
 	s.mu.Unlock()
 	last := time.Now().Add(max(min(longest, killLongest)+killTime-killMargin, comingTime))
 	s.callers.Bound(last.Add(-answerMargin))
-	// What came before the bound was set may have longer than this process has.
-	defer time.AfterFunc(time.Until(last)-answerMargin, s.pool.Close).Stop()
+	// What came before the bound was set may have longer than this process has, and what
+	// is still coming may be whole in the moment that the process ends.
+	defer time.AfterFunc(time.Until(last)-answerMargin, func() {
+		s.callers.Cut()
+		s.pool.Close()
+	}).Stop()
 	if next != nil {
 		slog.Info("handing over", "callers", s.callers.Open())
 		s.listener.Close()
+		<-served
 		s.callers.PassOn(next.Pass)
 		s.callers.Drain(last)
 		next.Close()
@@ -429,4 +437,8 @@
 	// Where requests may take long, fewer of those that come late end in time.
 	time.Sleep(max(comingTime, time.Until(last)-max(windDown, longest/2)))
 	s.callers.Drain(last)
+	// Whoever connected while the last one was closed is served as well.
+	s.listener.Close()
+	<-served
+	s.callers.Drain(last)
 }
--- a/internal/sock/look.go
+++ b/internal/sock/look.go
@@ -4,6 +4,8 @@
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is what a look at a connection finds.
@@ -23,6 +25,37 @@
 	state State
 }
 
+// Waiting tells whether bytes of c wait to be read. It may be called beside a reader
+// and whatever the read deadline, and costs an allocation.
+func Waiting(c net.Conn) bool {
+	var b [1]byte
+	n := 0
+	control(c, func(fd int) {
+		n, _, _ = syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return n > 0
+}
+
+// Left tells whether the other side of c has closed it or broken it off, even with bytes
+// before that still to be read. It may be called beside a reader.
+func Left(c net.Conn) (left bool) {
+	control(c, func(fd int) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(p, 0)
+		left = err == nil && n == 1 && p[0].Revents&unix.POLLRDHUP != 0
+	})
+	return left
+}
+
+// control calls f with the descriptor of c, if it is a socket that is open.
+func control(c net.Conn, f func(fd int)) {
+	if sys, ok := c.(syscall.Conn); ok {
+		if raw, err := sys.SyscallConn(); err == nil {
+			raw.Control(func(fd uintptr) { f(int(fd)) })
+		}
+	}
+}
+
 // New returns the Look of c, which finds Ended if c is no socket.
 func New(c net.Conn) *Look {
 	l := &Look{}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -80,6 +80,9 @@
 	afterOver = 500 * time.Millisecond
 )
 
+// Confirmer tells whether an attempt may still begin.
+type Confirmer interface{ Confirm() bool }
+
 // Do makes one attempt at the endpoint called name and waits for its outcome
 // for as long as timeout. Until its last byte is written, the attempt ends
 // with its call, never having run; then it has afterOver to end. The answer
@@ -87,12 +90,19 @@
 // endpoint made one.
 //
 // An Upload has all the time that it comes in; timeout counts from its end.
-func (p *Pool) Do(call *Call, name string, r *Request, timeout time.Duration) (*Answer, balance.Result) {
+//
+// A connection may take its time to come up, and what was right to be sent need not be so
+// any more: unless it is nil, may is asked right before the first byte.
+func (p *Pool) Do(call *Call, name string, r *Request, timeout time.Duration, may Confirmer) (*Answer, balance.Result) {
 	deadline := time.Now().Add(timeout)
 	c, result := p.connect(call, name, r.Once, deadline)
 	if c == nil {
 		return nil, result
 	}
+	if may != nil && !may.Confirm() {
+		p.giveBack(c)
+		return nil, balance.NotSent
+	}
 	c.SetDeadline(deadline)
 	me := out{c: c, deadline: deadline}
 	if !call.enter(me) {
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -26,6 +26,20 @@
 	mu    sync.Mutex
 	err   error
 	whole time.Time
+	left  bool
+}
+
+// Leave tells that the caller has gone away: nothing more of the body is sent on.
+func (u *Upload) Leave() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.left = true
+}
+
+func (u *Upload) hasLeft() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.left
 }
 
 // Err is why the body did not come.
@@ -53,6 +67,9 @@
 	}
 }
 
+// errLeft tells of a caller that has gone away before its body was sent on.
+var errLeft = errors.New("the caller has left")
+
 // errUpload tells of a body that did not come, which is not the node's doing.
 var errUpload = errors.New("the body has not come whole")
 
@@ -85,6 +102,10 @@
 	}
 	for {
 		n, err := u.In.Read(*buf)
+		if u.hasLeft() {
+			u.end(errLeft)
+			return errUpload
+		}
 		if n > 0 {
 			if err := write(nil, (*buf)[:n]); err != nil {
 				return err
