Crossings at the end of waits and of the process, forced on sockets

An upload whose place was asked for reads on.

standin.Late is a listener whose queue is full until it is opened, so that connections come up late without any fault of the machine.

--- a/internal/front/http/callers.go
+++ b/internal/front/http/callers.go
@@ -304,10 +304,9 @@
 	c.settle()
 	c.leave()
 	c.enter(st)
-	if st == reading {
-		c.intake.stopped.Store(cs.cut)
-	}
-	if st == reading && cs.cut {
+	stopped := st == reading && cs.cut
+	c.intake.stopped.Store(stopped)
+	if stopped {
 		until = past
 	}
 	c.conn.SetReadDeadline(until)
--- a/internal/front/http/left_test.go
+++ b/internal/front/http/left_test.go
@@ -7,15 +7,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"gorselink/internal/nodes"
 	"gorselink/internal/pool"
+	"gorselink/internal/standin"
 	"gorselink/internal/upstream"
 )
 
@@ -54,51 +53,6 @@
 	return w
 }
 
-// late is a listener to which connections come up only once it is opened: its queue of
-// one is full until then, and the kernel drops what else knocks, which knocks again.
-type late struct {
-	net.Listener
-	fill []net.Conn
-}
-
-func newLate(t *testing.T) *late {
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		t.Fatal(err)
-	}
-	if err := syscall.Listen(fd, 0); err != nil {
-		t.Fatal(err)
-	}
-	f := os.NewFile(uintptr(fd), "late")
-	defer f.Close()
-	l, err := net.FileListener(f)
-	if err != nil {
-		t.Fatal(err)
-	}
-	k := &late{Listener: l}
-	for { // until one does not come up
-		c, err := net.DialTimeout("tcp", l.Addr().String(), 200*time.Millisecond)
-		if err != nil {
-			break
-		}
-		t.Cleanup(func() { c.Close() })
-		k.fill = append(k.fill, c)
-	}
-	return k
-}
-
-// open makes room for n connections to come up.
-func (k *late) open() {
-	raw, _ := k.Listener.(*net.TCPListener).SyscallConn()
-	raw.Control(func(fd uintptr) { syscall.Listen(int(fd), 1024) })
-	for _, c := range k.fill {
-		c.Close()
-	}
-}
-
 // departures is a sidecar in which requests wait in some way, until their way is opened.
 type departures struct {
 	rig
@@ -214,12 +168,18 @@
 		return d
 	}
 	dialling := func(t *testing.T, long int64) *departures {
-		l := newLate(t)
+		l, err := standin.ListenLate()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
 		d := newDepartures(t, long, inService("s-1", l.Addr().String()))
 		d.seen = &witness{}
 		d.ready = func(n int) bool { return d.Pool.Open() == n }
 		d.open = func() {
-			l.open()
+			if err := l.Open(); err != nil {
+				t.Fatal(err)
+			}
 			d.seen = newWitness(t, l)
 		}
 		return d
