Connections rest 20 ms between an answer and the next request

Cause, by reading: a second answer that comes some milliseconds late, on a connection that is in use again by then, was served as the next request's; the look at the socket sees it only once it is there. Forced with an endpoint that answers all twice, 3 ms late: without the rest the second request already had the first one's answer; with it none of 60.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -42,6 +42,10 @@
 	// for 64 of the longest bodies.
 	bodyShare = 8
 
+	// restTime is some times what a second answer was ever seen to come late, which is
+	// some milliseconds, and short beside what connections are kept idle for.
+	restTime = 20 * time.Millisecond
+
 	// comingTime is how long after SIGTERM all goes on as before at the least:
 	// new connections go on coming for 0.4 s. The same holds for a drain by hand.
 	comingTime = 600 * time.Millisecond
@@ -145,6 +149,7 @@
 	s.up = upstream.New(upstream.Config{
 		DialTimeout: cfg.DialTimeout,
 		ConnIdle:    cfg.Balance.ConnIdle,
+		Rest:        restTime,
 		LargeBytes:  s.memory() / largeShare,
 		Stream:      httpfront.PlatformLongest,
 	})
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -23,6 +23,12 @@
 	MaxConns    int           // connections at most, to all endpoints
 	LargeBytes  int64         // memory for answers over SmallAnswer, all together
 
+	// Rest is how long a connection rests between an answer and the next request. An
+	// endpoint that answers twice may do so some milliseconds late; on a connection that
+	// is in use again by then, the second answer would be taken for the next request's.
+	// It costs a new connection where requests come more closely; 0 for none.
+	Rest time.Duration
+
 	MaxAnswer  int           // bytes of the longest body that is passed on; 0 for 1 MiB
 	AnswerTime time.Duration // that an answer may stop inside; 0 for 0.5 s
 
@@ -282,8 +288,12 @@
 	}
 	now := time.Now()
 	p.sweep(now)
-	for len(t.idle) > 0 {
-		c := t.idle[len(t.idle)-1]
+	i := len(t.idle) - 1
+	for i >= 0 && now.Sub(t.idle[i].idleSince) < p.cfg.Rest {
+		i--
+	}
+	for ; i >= 0; i-- {
+		c := t.idle[i]
 		// One that is doubted is closed: the new one takes its place.
 		doubted := once && now.Before(p.doubt) && now.Sub(c.idleSince) >= restless
 		if doubted || !c.quiet() {
@@ -293,7 +303,7 @@
 			}
 			continue
 		}
-		t.idle = t.idle[:len(t.idle)-1]
+		t.idle = slices.Delete(t.idle, i, i+1)
 		p.idle.Remove(&c.place)
 		return c, t
 	}
