--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -42,9 +42,10 @@
 	// for 64 of the longest bodies.
 	bodyShare = 8
 
-	// restTime is some times what a second answer was ever seen to come late, which is
-	// some milliseconds, and short beside what connections are kept idle for.
-	restTime = 20 * time.Millisecond
+	// restTime is what a second answer may come late, some milliseconds, and short beside
+	// what a request takes: a connection that rests is one that others have to do without,
+	// and where new ones come up badly that costs service.
+	restTime = 5 * time.Millisecond
 
 	// comingTime is how long after SIGTERM all goes on as before at the least:
 	// new connections go on coming for 0.4 s. The same holds for a drain by hand.
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -137,6 +137,11 @@
 		p.suspect(c, sent)
 	}
 	if !again {
+		if result == balance.OK {
+			p.mu.Lock()
+			p.note(c)
+			p.mu.Unlock()
+		}
 		p.lose(c)
 		return a, result
 	}
@@ -164,9 +169,20 @@
 	if call.Over() {
 		return nil, balance.NotSent
 	}
-	c, t := p.take(name, once)
-	if c != nil {
-		return c, balance.OK
+	c, t, rest := p.take(name, once)
+	for c != nil {
+		if rest <= 0 {
+			return c, balance.OK
+		}
+		time.Sleep(rest) // an end of the call is seen before anything is sent
+		if c.quiet() {
+			return c, balance.OK
+		}
+		p.mu.Lock()
+		p.note(c)
+		p.mu.Unlock()
+		p.lose(c)
+		c, t, rest = p.take(name, once)
 	}
 	if t == nil {
 		return nil, balance.NotSent
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -14,6 +14,7 @@
 
 	"gorselink/internal/limit"
 	"gorselink/internal/ring"
+	"gorselink/internal/sock"
 )
 
 // Config holds the settings of a Pool.
@@ -26,7 +27,9 @@
 	// Rest is how long a connection rests between an answer and the next request. An
 	// endpoint that answers twice may do so some milliseconds late; on a connection that
 	// is in use again by then, the second answer would be taken for the next request's.
-	// It costs a new connection where requests come more closely; 0 for none.
+	// A request for which there is none that has rested waits for the one nearest to it,
+	// which costs less than a new one. The rest is longer for a while once bytes have come
+	// that belong to no request. 0 for no rest.
 	Rest time.Duration
 
 	MaxAnswer  int           // bytes of the longest body that is passed on; 0 for 1 MiB
@@ -92,6 +95,7 @@
 	idle    ring.List[*conn] // the one idle longest in front
 	open    int              // connections dialled or being dialled
 	closed  bool
+	unruly  time.Time // until then endpoints are known to send more than they should
 	doubt   time.Time // until then a kept connection may be dead without showing it
 }
 
@@ -232,11 +236,18 @@
 		if now.Sub(c.idleSince) < p.idleLimit() {
 			return
 		}
+		p.note(c)
 		p.drop(c)
 	}
 }
 
 const (
+	// unrulyTime is how long bytes that belong to no request make connections rest
+	// unrulyRest times as long. Who sends them does so again, and each is a chance to
+	// give a caller another one's answer.
+	unrulyTime = 30 * time.Second
+	unrulyRest = 5
+
 	// restless is how long a connection may have been idle to be as good as in
 	// use: whatever closes idle ones on the way has longer to wait.
 	restless = 100 * time.Millisecond
@@ -247,6 +258,22 @@
 	doubtTime = 10 * time.Second
 )
 
+// rest is how long a connection rests now.
+func (p *Pool) rest(now time.Time) time.Duration {
+	if now.Before(p.unruly) {
+		return unrulyRest * p.cfg.Rest
+	}
+	return p.cfg.Rest
+}
+
+// note looks whether an idle connection that is given up has brought more than it should;
+// the mutex is held.
+func (p *Pool) note(c *conn) {
+	if p.cfg.Rest > 0 && (c.in.Buffered() > 0 || c.look.State() == sock.Bytes) {
+		p.unruly = time.Now().Add(unrulyTime)
+	}
+}
+
 // suspect books that a connection which had been idle broke under the next
 // request before any answer: its endpoint, or something on the way, had let go
 // of it unseen. For a while what must not be sent twice does not go on
@@ -278,18 +305,28 @@
 
 // take returns an idle connection to name that still stands, or nil and the
 // target to dial, having made room for one more connection. Both are nil if
-// there is no such endpoint or no room. For once, see Request.
-func (p *Pool) take(name string, once bool) (*conn, *target) {
+// there is no such endpoint or no room. The connection has to rest for so long
+// before it is used, and may not stand any more then. For once, see Request.
+func (p *Pool) take(name string, once bool) (c *conn, t *target, rest time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t := p.targets[name]
+	t = p.targets[name]
 	if t == nil {
-		return nil, nil
+		return nil, nil, 0
 	}
 	now := time.Now()
 	p.sweep(now)
+	if len(t.idle) > 0 {
+		rest = p.rest(now) - now.Sub(t.idle[0].idleSince)
+	}
+	if rest > 0 {
+		c := t.idle[0] // the one idle longest, and so all the others
+		t.idle = slices.Delete(t.idle, 0, 1)
+		p.idle.Remove(&c.place)
+		return c, t, rest
+	}
 	i := len(t.idle) - 1
-	for i >= 0 && now.Sub(t.idle[i].idleSince) < p.cfg.Rest {
+	for i >= 0 && now.Sub(t.idle[i].idleSince) < p.rest(now) {
 		i--
 	}
 	for ; i >= 0; i-- {
@@ -297,6 +334,7 @@
 		// One that is doubted is closed: the new one takes its place.
 		doubted := once && now.Before(p.doubt) && now.Sub(c.idleSince) >= restless
 		if doubted || !c.quiet() {
+			p.note(c)
 			p.drop(c)
 			if doubted {
 				break
@@ -305,18 +343,18 @@
 		}
 		t.idle = slices.Delete(t.idle, i, i+1)
 		p.idle.Remove(&c.place)
-		return c, t
+		return c, t, 0
 	}
 	if p.open >= p.cfg.MaxConns {
 		oldest := p.idle.Front()
 		if oldest == nil {
-			return nil, nil
+			return nil, nil, 0
 		}
 		p.drop(oldest.Of)
 	}
 	p.open++
 	t.open++
-	return nil, t
+	return nil, t, 0
 }
 
 // give takes a connection back for further use.
