--- a/internal/pool/silent_test.go
+++ b/internal/pool/silent_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -21,11 +22,12 @@
 	status string        // of the one endpoint that it lists
 	hush   int           // so many calls from now on are never answered, also later
 	refuse int           // so many are turned away
+	cut    chan struct{} // when closed, the calls that are open are reset
 	heard  chan struct{} // told of each call that is not answered
 }
 
 func newScripted(t *testing.T, address string) *scripted {
-	s := &scripted{status: "in_service", heard: make(chan struct{}, 100)}
+	s := &scripted{status: "in_service", heard: make(chan struct{}, 100), cut: make(chan struct{})}
 	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.calls++
@@ -46,7 +48,7 @@
 		end := time.Now().Add(wait)
 		for {
 			s.mu.Lock()
-			index, status := 7, s.status
+			index, status, cut := 7, s.status, s.cut
 			s.mu.Unlock()
 			if status != "in_service" {
 				index = 8
@@ -58,6 +60,12 @@
 			select {
 			case <-r.Context().Done():
 				return
+			case <-cut:
+				s.set(func() { s.cut = make(chan struct{}) })
+				c, _, _ := w.(http.Hijacker).Hijack()
+				c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+				return
 			case <-time.After(5 * time.Millisecond):
 			}
 		}
@@ -143,6 +151,39 @@
 	}
 }
 
+// All watches are reset, and the calls after that turned away for a while. A drain that is
+// told some moments later is heard in time, as well where the reset comes right behind it.
+func TestWatchesResetBeforeDrains(t *testing.T) {
+	for _, asked := range []bool{false, true} {
+		for _, behind := range []time.Duration{0, 300 * time.Millisecond} {
+			t.Run(fmt.Sprintf("asked %t, %v behind", asked, behind), func(t *testing.T) {
+				t.Parallel()
+				s := newScripted(t, "127.0.0.1:1")
+				times := nodes.PushTimes(2 * time.Second)
+				if asked {
+					times = nodes.AskTimes()
+				}
+				p := follows(t, asked, nodes.NewDiscovery(s.Listener.Addr().String(), times))
+				began := time.Now()
+				s.set(func() {
+					if !asked { // where it is asked, the wait after that is the Balancer's
+						s.refuse = 6
+					}
+					close(s.cut)
+				})
+				time.Sleep(behind)
+				s.set(func() { s.status = "terminating" })
+				eventually(t, "the drain is heard", drained(p))
+				// Asked, the reset of a connection that has been used is not yet a failure:
+				// the call is made once more on a new one.
+				if took := time.Since(began); took > behind+2*time.Second {
+					t.Errorf("heard %v after the reset, want %v and 2 s at most", took, behind)
+				}
+			})
+		}
+	}
+}
+
 // Where discovery is asked, a watch that has fallen silent is opened anew at once: what
 // it missed counts as told 2 s after its wait.
 func TestAskedWatchFallsSilent(t *testing.T) {
