--- a/internal/front/http/left_test.go
+++ b/internal/front/http/left_test.go
@@ -101,7 +101,7 @@
 // that the witness sees what is sent, and two thirds of the others send more than they
 // should before they go. A second run, in which nobody leaves, has all of them served.
 func TestNothingIsSentOnForWhoLeft(t *testing.T) {
-	const callers = 48 // a case, of which half leave
+	const callers = 96 // a case, of which half leave: 210 in the six ways to wait
 	const few = 9      // where the budget allows no more to be tried again
 	usual := func(id string, i int) string {
 		if i%2 == 0 { // safe and unsafe alike, two of each kind in a row
--- a/internal/sock/look_test.go
+++ b/internal/sock/look_test.go
@@ -32,6 +32,9 @@
 		}
 	}
 	becomes(Quiet)
+	if Waiting(here) || Left(here) {
+		t.Error("a quiet connection has bytes that wait, or has been left")
+	}
 	there.Write([]byte("x"))
 	becomes(Bytes)
 	b := make([]byte, 2)
@@ -41,15 +44,37 @@
 	becomes(Quiet)
 	here.SetReadDeadline(time.Unix(1, 0))
 	becomes(Ended)
+	there.Write([]byte("y"))
+	for end := time.Now().Add(20 * time.Second); !Waiting(here); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("bytes under a deadline that has passed are not seen")
+		}
+	}
+	if Left(here) {
+		t.Error("a connection with bytes that wait has been left")
+	}
 	here.SetReadDeadline(time.Time{})
+	if n, err := here.Read(b); n != 1 || err != nil {
+		t.Fatalf("%d bytes, %v", n, err)
+	}
 	becomes(Quiet)
 	if n := testing.AllocsPerRun(100, func() { look.State() }); n > 0 {
 		t.Errorf("%v allocations a look", n)
 	}
+	there.Write([]byte("z")) // hides the end from a look that peeks
 	there.Close()
+	for end := time.Now().Add(20 * time.Second); !Left(here); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("an end behind bytes is not seen")
+		}
+	}
+	if s := look.State(); s != Bytes {
+		t.Errorf("state %v, want bytes", s)
+	}
+	here.Read(b)
 	becomes(Ended)
 	a, _ := net.Pipe()
-	if s := New(a).State(); s != Ended {
+	if s := New(a).State(); s != Ended || Waiting(a) || Left(a) {
 		t.Errorf("a pipe: %v", s)
 	}
 }
