Upstream, pool: one way to give up a connection, one sleep; nothing written twice

Change: lose takes the one lock, and is told whether what came before was sound; nodes.Sleep is used by the pool. No bound and no decision is changed. Tests of upstream, nodes, pool and front/http pass.

--- a/internal/nodes/discovery.go
+++ b/internal/nodes/discovery.go
@@ -112,7 +112,7 @@
 		if c.index == before && time.Since(asked) < pace {
 			// Nothing new and no wait: not to spin on a discovery that does
 			// not hold its watches.
-			if !sleep(ctx, pace) {
+			if !Sleep(ctx, pace) {
 				return ctx.Err()
 			}
 		}
--- a/internal/nodes/file.go
+++ b/internal/nodes/file.go
@@ -56,7 +56,7 @@
 			f.bad = ""
 			tell(list)
 		}
-		if !sleep(ctx, f.Every) {
+		if !Sleep(ctx, f.Every) {
 			return ctx.Err()
 		}
 	}
--- a/internal/nodes/source.go
+++ b/internal/nodes/source.go
@@ -90,8 +90,8 @@
 	return err
 }
 
-// sleep waits for d or the end of ctx, and tells whether ctx goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
+// Sleep waits for d or the end of ctx, and tells whether ctx goes on.
+func Sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/internal/pool/members.go
+++ b/internal/pool/members.go
@@ -125,7 +125,7 @@
 		}
 		src.fails(p.cfg.Name, err)
 		delay := min(backoffMin<<min(src.failed-1, 8), backoffMax)
-		pause(ctx, delay/2+time.Duration(jitter.Int64N(int64(delay/2))))
+		nodes.Sleep(ctx, delay/2+time.Duration(jitter.Int64N(int64(delay/2))))
 	}
 }
 
@@ -160,7 +160,7 @@
 				}
 				least, most = silenceMin, silenceMax
 			}
-			if !pause(ctx, least+time.Duration(jitter.Int64N(int64(most-least)))) {
+			if !nodes.Sleep(ctx, least+time.Duration(jitter.Int64N(int64(most-least)))) {
 				return
 			}
 		}
@@ -172,16 +172,6 @@
 	}
 }
 
-// pause waits for d and tells whether ctx goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // told takes what a source tells. The first word of a new one is its whole list
 // and ends the source before, whose changes cannot be applied to that list.
 func (p *Pool) told(src *source, l nodes.List) {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -116,7 +116,7 @@
 			result = c.unsent(call)
 		}
 		call.leave(me)
-		p.lose(c)
+		p.lose(c, false)
 		return nil, result
 	}
 	if r.Upload != nil {
@@ -137,12 +137,7 @@
 		p.suspect(c, sent)
 	}
 	if !again {
-		if result == balance.OK {
-			p.mu.Lock()
-			p.note(c)
-			p.mu.Unlock()
-		}
-		p.lose(c)
+		p.lose(c, result == balance.OK)
 		return a, result
 	}
 	p.giveBack(c)
@@ -178,10 +173,7 @@
 		if c.quiet() {
 			return c, balance.OK
 		}
-		p.mu.Lock()
-		p.note(c)
-		p.mu.Unlock()
-		p.lose(c)
+		p.lose(c, true)
 		c, t, rest = p.take(name, once)
 	}
 	if t == nil {
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -145,5 +145,5 @@
 		r.c.target.pool.giveBack(r.c)
 		return
 	}
-	r.c.target.pool.lose(r.c)
+	r.c.target.pool.lose(r.c, false)
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -371,10 +371,16 @@
 	c.target.idle = append(c.target.idle, c)
 }
 
-// lose closes a connection that cannot be used again.
-func (p *Pool) lose(c *conn) {
+// lose closes a connection that cannot be used again. What it has brought behind a sound
+// answer counts as stray.
+func (p *Pool) lose(c *conn, sound bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if sound {
+		p.note(c)
+	}
 	c.Close()
-	p.forget(c.target)
+	p.ended(c.target)
 }
 
 // forget books that a connection to t, or the dialling of one, has ended.
