Discovery is asked for what has changed since the known list; a wait is 2.5 s at most

Ruled out: silent watches, a cut of the zone (the sidecars that broke the rule had not had one answer yet). At fault: Discovery.next, whose first call was always for the whole list, though the configuration brings the list of a known version, and Balancer.watchLater, which waited for up to half of AskWithin: 5 s with a call of 2 s beside a bound of 6 s.

Change: a sidecar that is asked, and one whose discovery moves, resumes from the version that it knows; a list that is older than what is known is dropped; waits grow to 2.5 s at most and are spread by the size of the fleet.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -405,7 +405,8 @@
 	e.Endpoint = entry
 }
 
-const goneMemory = 30 * time.Second // what a hiccup of discovery drops comes back well within it
+const watchMost = 2500 * time.Millisecond // with the 2 s of a call well within the 6 s after which a change counts as told
+const goneMemory = 30 * time.Second       // what a hiccup of discovery drops comes back well within it
 
 // forget frees places of endpoints that are gone, once no request has an attempt there.
 func (b *Balancer) forget(now time.Duration) {
@@ -419,13 +420,13 @@
 	}
 }
 
-// watchLater asks for the list after a delay that doubles, spread to 20 ms a balancer.
+// watchLater asks for the list after a delay that doubles, spread over the fleet.
 func (b *Balancer) watchLater() {
 	if b.watchDue {
 		return
 	}
 	b.watchDue = true
-	delay := min(b.cfg.AskWithin/2, max(500, 25*time.Duration(b.cfg.Instances))*time.Millisecond<<min(b.watchFails, 8))
+	delay := min(b.cfg.AskWithin/2, watchMost, max(500, 10*time.Duration(b.cfg.Instances))*time.Millisecond<<min(b.watchFails, 8))
 	b.host.After(time.Duration(float64(delay)*(0.2+0.8*b.rng.Float64())), timerWatch)
 }
 
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -18,15 +18,18 @@
 	at     []*Balancer
 	rng    *rand.Rand
 
-	answer  func(addr string, number int) (Result, time.Duration)
-	sent    func(addr string, number int)
-	choose  func() int                                                  // who takes the next request; all alike without it
-	call    func(addr string, timeout time.Duration, done func(Result)) // answers in its own time, instead of answer
-	clock   *fleet                                                      // whose time and events these are; its own without it
-	unsafe  bool                                                        // no attempt may follow one that may have run
-	ended   func(served bool)
-	endedID func(id RequestID, served bool)
-	begun   func(id RequestID)
+	answer   func(addr string, number int) (Result, time.Duration)
+	sent     func(addr string, number int)
+	choose   func() int                                                                          // who takes the next request; all alike without it
+	call     func(addr string, timeout time.Duration, done func(Result))                         // answers in its own time, instead of answer
+	callFrom func(from int, id RequestID, addr string, timeout time.Duration, done func(Result)) // the same, told which Balancer calls
+	refused  func(id RequestID, retryAfter time.Duration)                                        // told before ended
+	clock    *fleet                                                                              // whose time and events these are; its own without it
+	watch    func(i int)                                                                         // a Balancer asks for the list
+	unsafe   bool                                                                                // no attempt may follow one that may have run
+	ended    func(served bool)
+	endedID  func(id RequestID, served bool)
+	begun    func(id RequestID)
 }
 
 type event struct {
@@ -143,9 +146,13 @@
 		}
 		b.Outcome(h.f.now, id, number, result, h.f.now-sent, result == OK)
 	}
-	if h.f.call != nil {
+	switch {
+	case h.f.call != nil:
 		h.f.call(addr, timeout, done)
 		return
+	case h.f.callFrom != nil:
+		h.f.callFrom(h.i, id, addr, timeout, done)
+		return
 	}
 	result, took := h.f.answer(addr, number)
 	if took >= timeout {
@@ -167,13 +174,20 @@
 	}
 }
 
-func (h *fleetHost) Refuse(id RequestID, _ time.Duration) {
+func (h *fleetHost) Refuse(id RequestID, retryAfter time.Duration) {
+	if h.f.refused != nil {
+		h.f.refused(id, retryAfter)
+	}
 	h.refusing = true
 	h.end(id, false)
 	h.refusing = false
 }
 func (h *fleetHost) Fail(id RequestID) { h.end(id, false) }
-func (h *fleetHost) Watch()            {}
+func (h *fleetHost) Watch() {
+	if h.f.watch != nil {
+		h.f.watch(h.i)
+	}
+}
 func (h *fleetHost) After(d time.Duration, token uint64) {
 	b := h.f.at[h.i]
 	h.f.after(d, func() { b.Timer(h.f.now, token) })
--- a/internal/nodes/discovery.go
+++ b/internal/nodes/discovery.go
@@ -69,6 +69,7 @@
 	index   uint64
 	started bool // index is of an answer of this service
 	failed  bool // the last call has
+	prompt  bool // the next call is not to wait
 }
 
 // NewDiscovery returns a Discovery of the discovery at addr.
@@ -84,6 +85,19 @@
 	}
 }
 
+// Resume makes the first call ask for what has changed since index, which is a version of
+// the list that this discovery serves: a whole list costs a discovery that answers all
+// sidecars of a large fleet some ten times as much as a change, and with all of them asking
+// for one at once it was half a minute until the last had been answered. Where its versions
+// have begun anew since, or its history does not reach back, the whole list comes all the
+// same.
+//
+// The call does not wait for news: what discovery has by then, and that it is heard at all,
+// is to be known at once. Call Resume before Follow.
+func (c *Discovery) Resume(index uint64) {
+	c.index, c.started, c.prompt = index, true, true
+}
+
 // String implements Source.
 func (c *Discovery) String() string { return "discovery " + c.addr }
 
@@ -108,6 +122,7 @@
 		if err != nil {
 			return err
 		}
+		c.prompt = false
 		update(list)
 		if c.index == before && time.Since(asked) < pace {
 			// Nothing new and no wait: not to spin on a discovery that does
@@ -125,7 +140,7 @@
 		return c.whole(ctx)
 	}
 	wait, limit := c.times.Wait, c.times.Wait+c.times.Answer
-	if c.failed {
+	if c.failed || c.prompt {
 		// What was missed is to be had at once or not at all; a wait would only hide
 		// that this call is not heard either.
 		wait, limit = 0, c.times.List
--- a/internal/nodes/discovery_test.go
+++ b/internal/nodes/discovery_test.go
@@ -52,6 +52,51 @@
 	}
 }
 
+// Whoever knows a version of the list asks for what has changed since, at once, and for the
+// whole list only where versions have begun anew.
+func TestResume(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		first string // answer
+		asked string // right after it
+		whole bool   // what is told first
+	}{
+		{"changes", `{"index":43,"snapshot":false,"endpoints":[%s]}`, "after=43&wait_ms=1000", false},
+		{"nothing new", `{"index":41,"snapshot":false,"endpoints":[]}`, "after=41&wait_ms=1000", false},
+		{"too long ago", `{"index":99,"snapshot":true,"endpoints":[%s]}`, "after=99&wait_ms=1000", true},
+		{"begun anew", `{"index":5,"snapshot":false,"endpoints":[%s]}`, "", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var asked []string
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if asked = append(asked, r.URL.RawQuery); len(asked) == 1 {
+					io.WriteString(w, strings.Replace(c.first, "%s", entry, 1))
+					return
+				}
+				fmt.Fprintf(w, `{"index":99,"snapshot":%t,"endpoints":[%s]}`, c.whole, entry)
+			}))
+			t.Cleanup(srv.Close)
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			d := NewDiscovery(srv.Listener.Addr().String(), Times{Wait: time.Second, Answer: time.Second, List: 2 * time.Second})
+			defer d.Close()
+			d.Resume(41)
+			var lists []List
+			d.Follow(ctx, func(l List) {
+				if lists = append(lists, l); len(asked) == 2 {
+					cancel()
+				}
+			})
+			if len(asked) < 2 || asked[0] != "after=41&wait_ms=0" || asked[1] != c.asked {
+				t.Errorf("asked %q, want what changed since 41 at once, then %q", asked, c.asked)
+			}
+			if len(lists) == 0 || lists[0].Snapshot != c.whole {
+				t.Errorf("told %+v first, want a whole list: %t", lists, c.whole)
+			}
+		})
+	}
+}
+
 // An answer that cannot be used is an error, and nothing of it is told.
 func TestBadAnswers(t *testing.T) {
 	for name, h := range map[string]http.HandlerFunc{
--- a/internal/pool/members.go
+++ b/internal/pool/members.go
@@ -185,18 +185,33 @@
 		return // a late word of a source that has been replaced
 	}
 	kind := balance.Delta
-	if l.Snapshot {
+	switch {
+	case l.Snapshot:
 		kind = balance.Full
+	case l.Index < p.version:
+		// From a source that goes on where the one before was, and lags behind it: what it
+		// tells is older than what is known, and would bring back what has been drained.
+		return
 	}
 	p.update(kind, l)
 }
 
+// Version is the newest version of the list that has been told, and whether any has been.
+func (p *Pool) Version() (index uint64, known bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.version, p.listed
+}
+
 // update takes a list, or the news that asking for one failed; the mutex is
 // held.
 func (p *Pool) update(kind balance.ListKind, l nodes.List) {
 	if l.Undated {
 		p.date(l.Endpoints)
 	}
+	if kind != balance.Failed {
+		p.version = l.Index
+	}
 	list := l.Endpoints
 	entries := make([]balance.Endpoint, 0, len(list))
 	for i := range list {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -56,6 +56,7 @@
 	classes  map[balance.Class]int // numbers of classes, for Class
 	retired  bool
 	listed   bool
+	version  uint64 // of the list as it is known, see nodes.List.Index
 	known    map[string]nodes.Endpoint
 	entered  map[string]balance.Endpoint // of them, as the Balancer was told
 	past     []string                    // names of some that are gone, see Knows
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -155,13 +155,17 @@
 		Stream:      httpfront.PlatformLongest,
 	})
 	defer s.up.Close()
+	begin := discovery(cfg)
+	if cfg.Balance.AskDiscovery && len(cfg.Known.Endpoints) > 0 {
+		begin.Resume(cfg.Known.Index)
+	}
 	s.pool, err = pool.New(pool.Config{
 		Name:    cfg.Name,
 		Seed:    cfg.Seed,
 		Balance: cfg.Balance,
 		Zones:   cfg.Zones,
 		Known:   cfg.Known,
-		Source:  discovery(cfg),
+		Source:  begin,
 		Limits:  bodyLimits(s.memory()),
 	}, s.up)
 	if err != nil {
@@ -347,7 +351,7 @@
 }
 
 // discovery is the source that the configuration names.
-func discovery(cfg *config.Config) nodes.Source {
+func discovery(cfg *config.Config) *nodes.Discovery {
 	if cfg.Balance.AskDiscovery {
 		return nodes.NewDiscovery(cfg.Discovery, nodes.AskTimes())
 	}
@@ -382,7 +386,11 @@
 		return
 	}
 	slog.Info("reload", "discovery", cfg.Discovery, "classes", len(cfg.Classes), "attempts", cfg.Balance.AttemptLimit)
-	s.pool.Move(discovery(cfg))
+	next := discovery(cfg)
+	if index, known := s.pool.Version(); cfg.Balance.AskDiscovery && known {
+		next.Resume(index) // the same list at another address
+	}
+	s.pool.Move(next)
 }
 
 // mostClasses bounds the classes that the Balancer knows, used or not.
