Retries are a share of what is served, and the door closes where errors come of a jam

Of 2,800 calls a second to the second tier 2,245 were served in the 2nd second, 438 in the 5th, 12 in the 10th; from then on 220 sidecars made 13,000 to 18,000 attempts a second, of which 12,657 to 17,073 were turned away. Attempts out there rose from 2 to 12 for each endpoint meanwhile. Each attempt came on a new connection (596,709 in 26 s), whose handshake costs an endpoint a third of a call. At the front 4,000 first attempts a second went on to get errors, 3,400 to 4,800 of them, and none was served: "error after 1.629s", then what was left as a time-out, and errors after half a second.

At fault: Balancer.next, which let what had been turned away try again by turns up to the limit of attempts, with no share of anything, and earned retries by what was asked; admission.observe, to which a round trip full of errors was a sound one and raised the limit.

Change: a retry costs a token, of which each served request earns a fifth and no more than 0.2 s of them, or five, are saved up. What is out of tokens is given up at once. Errors close the door where what is served or fails takes three times as long as usual: then no more may be out than are served within five times that (Little's law). Errors of endpoints that fail by themselves come beside answers that are as quick as ever, and change nothing.

Two tests state tighter bounds than before (no waiting turns any more); three that looked into the module's parts follow their new names.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -11,6 +12,9 @@
 	congestionSure  = 2   // standard deviations above it that are no chance
 	limitRaise      = 1.1 // per round trip
 	limitMin        = 4
+	jamFrom         = 3                      // times the usual round trip: errors of endpoints that take no longer are their own
+	jamMost         = 5                      // times it, that as many may be out for as are served
+	usualRise       = 1.02                   // that it is forgotten by, per round trip
 	recentlyServed  = 500 * time.Millisecond // a server that answered within it is alive
 	valueMemory     = 500                    // requests over which the mean value is taken
 	budgetSpread    = 0.95                   // usual budgets of a class lie within this of each other: delays on the way differ
@@ -22,22 +26,24 @@
 // have worked for it; refusing at the door keeps the rest in time, and lets
 // the worth of a request decide instead of its luck.
 type admission struct {
-	outcomes  int     // since the limit last moved
-	congested int     // of them turned away as full or late
-	late      int     // of these, out past their aim
-	outBefore int     // attempts out when the limit last moved
-	limit     float64 // attempts out at once; 0 means none needed yet
-	refused   bool    // a request since the last step
-	meanValue float64
-	seen      float64
-	quotas    []quota
+	outcomes     int     // since the limit last moved
+	congested    int     // of them turned away as full or late
+	late         int     // of these, out past their aim
+	ok, took     float64 // those served, and their seconds
+	failed, lost float64 // those that ended as errors, and their seconds
+	usual        float64 // seconds that a served one is out while few fail
+	outBefore    int     // attempts out when the limit last moved
+	limit        float64 // attempts out at once; 0 means none needed yet
+	refused      bool    // a request since the last step
+	quotas       []quota
+
+	meanValue, seen float64
 }
 
 // quota is the part of a tenant's share that passes this balancer.
 type quota struct {
-	perSecond float64
-	tokens    float64
-	at        time.Duration
+	perSecond, tokens float64
+	at                time.Duration
 }
 
 // within tells whether one more request is inside the share. Only what enters
@@ -54,7 +60,12 @@
 // observe books how an attempt ended. The limit moves once in as many outcomes as
 // there were attempts out, one round trip: faster moves swing between jam and idleness.
 // It falls only on a share that so few outcomes do not show by chance.
-func (a *admission) observe(congested bool, out int, inAim float64) {
+//
+// Errors are a jam of the tier behind where what is served, or fails, takes longer than
+// usual as well; endpoints that fail by themselves do so at once, beside others as quick as
+// ever. Of more out than are served within a few times the usual round trip the mean one is
+// late (Little's law): that is the room there is in a jam.
+func (a *admission) observe(congested bool, out int, served, inAim float64) {
 	a.outcomes++
 	if congested {
 		a.congested++
@@ -62,26 +73,32 @@
 	if a.outcomes < max(congestionLeast, a.outBefore) {
 		return
 	}
-	n := float64(a.outcomes)
-	over := float64(a.congested)/n - congestionHigh
-	if over > congestionSure*math.Sqrt(congestionHigh*(1-congestionHigh)/n) {
-		if a.limit == 0 {
-			a.limit = float64(out + 1)
-		}
-		a.limit *= 1 - over/2
-		if 2*a.late > a.congested {
-			// A jam: of more out than are served within an aim the mean one
-			// is late (Little's law). Where servers turn away instead, the
-			// served count falls with the limit, and would pull it to nothing.
+	n, mean := float64(a.outcomes), a.took/max(1, a.ok)
+	sure := congestionHigh + congestionSure*math.Sqrt(congestionHigh*(1-congestionHigh)/n)
+	over, bad := float64(a.congested)/n, (float64(a.congested)+a.failed)/n
+	lately := max(mean, a.lost/max(1, a.failed))
+	jam := bad > sure && lately > jamFrom*a.usual
+	room := min(inAim, served*max(jamMost*a.usual, lately/2))
+	switch {
+	case over > sure || jam:
+		a.limit = cmp.Or(a.limit, float64(out+1))
+		a.limit *= 1 - max(0, over-congestionHigh)/2
+		if 2*a.late > a.congested { // where servers turn away, the served count falls with the limit, and would pull it to nothing
 			a.limit = min(a.limit, inAim)
 		}
+		if jam {
+			a.limit = min(a.limit, room)
+		}
 		a.limit = max(limitMin, a.limit)
-	} else if over <= 0 && a.refused {
+	case over <= congestionHigh && a.refused:
 		// Not "out is near the limit": a small limit is never near to full
 		// when an outcome comes in, and would stay small for good.
-		a.limit *= limitRaise
+		a.limit = max(a.limit*limitRaise, min(2*a.limit, room))
 	}
-	a.outcomes, a.congested, a.late, a.refused, a.outBefore = 0, 0, 0, false, out
+	if a.ok > 0 && (bad <= congestionHigh || a.limit == limitMin) {
+		a.usual = min(mean, cmp.Or(a.usual, mean)*usualRise)
+	}
+	a.outcomes, a.congested, a.late, a.failed, a.ok, a.took, a.lost, a.refused, a.outBefore = 0, 0, 0, 0, 0, 0, 0, false, out
 }
 
 // admits tells whether a request that has this part of its value left may enter with
@@ -93,10 +110,7 @@
 	if a.limit == 0 {
 		return true
 	}
-	relative := 1.0
-	if a.meanValue > 0 {
-		relative = math.Min(1, value*part/a.meanValue)
-	}
+	relative := min(1, value*part/max(a.meanValue, math.SmallestNonzeroFloat64))
 	ok := float64(out) < a.limit*(shedFrom+(1-shedFrom)*relative)
 	a.refused = a.refused || !ok
 	return ok
@@ -188,6 +202,6 @@
 	if last := len(r.attempts) - 1; r.out > 0 && !r.attempts[last].done && !r.attempts[last].late {
 		r.attempts[last].late = true
 		b.door.late++
-		b.door.observe(true, b.outTotal, b.aimRate.mean(now))
+		b.door.observe(true, b.outTotal, b.servedRate.mean(now), b.aimRate.mean(now))
 	}
 }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -156,22 +156,20 @@
 func (r Result) neverRan() bool { return r == Overloaded || r == ConnectError || r == NotSent }
 
 type attempt struct {
-	endpoint int
-	sent     time.Duration
-	ratio    float64
-	done     bool
-	neverRan bool
-	late     bool // its aim passed while it was out, and the door knows
+	endpoint       int
+	sent           time.Duration
+	ratio          float64 // of its class, see Balancer.ratio
+	done, neverRan bool
+	late           bool // its aim passed while it was out, and the door knows
 }
 
 type request struct {
-	id       RequestID
-	class    int
-	arrived  time.Duration
-	deadline time.Duration
-	attempts []attempt
-	out      int
-	closed   bool
+	id                RequestID
+	class             int
+	arrived, deadline time.Duration
+	attempts          []attempt
+	out               int
+	closed            bool
 }
 
 func (r *request) tried(i int) bool {
@@ -190,8 +188,7 @@
 
 // classStats learns how long a class takes beside the others.
 type classStats struct {
-	mean float64
-	n    float64
+	mean, n float64
 
 	asked, served float64 // decaying counts at the door and of answers in time
 
@@ -250,7 +247,7 @@
 		return nil, errors.New("balance: nil Host")
 	}
 	b := &Balancer{
-		host:     host,
+		host: host, retryTokens: retryLeast,
 		rng:      rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		byAddr:   map[string]int{},
 		spread:   1,
@@ -440,7 +437,6 @@
 	if b.cfg.Entry && !b.enter(now, r, tenant) && b.refuse(r, now) {
 		return
 	}
-	b.retryTokens = min(b.retryTokens+retryShare, retryBurst)
 	b.after(r, budget, timerDeadline)
 	if aim := b.cfg.Classes[class].Aim; b.cfg.Entry && aim < budget {
 		b.after(r, aim, timerLate)
@@ -448,9 +444,11 @@
 	b.try(r, now)
 }
 
+// A retry budget: where nothing is served, further attempts are what keeps it so.
 const (
-	retryShare = 0.2 // immediate retries per request taken
-	retryBurst = 10
+	retryShare = 0.2                    // retries for each request that is served
+	retrySpan  = 200 * time.Millisecond // of what is served may be saved up as retries: a fleet must not have saved up a storm
+	retryLeast = 5                      // that a stream however thin may save up
 )
 
 // try sends the next attempt of r if an endpoint can take it, or holds r.
@@ -522,7 +520,7 @@
 	}
 	e := &b.eps[i]
 	ratio := b.ratio(r.class)
-	e.flights = append(e.flights, flight{id: r.id, attempt: len(r.attempts), sent: now, ratio: ratio})
+	e.flights = append(e.flights, flight{r, len(r.attempts)})
 	r.attempts = append(r.attempts, attempt{endpoint: i, sent: now, ratio: ratio})
 	e.refs++
 	r.out++
@@ -603,46 +601,32 @@
 	b.outTotal--
 	b.learn(now, r, a, number, result, elapsed)
 	if !a.late {
-		b.door.observe(b.congestion(now, r, a, result, elapsed), b.outTotal, b.aimRate.mean(now))
+		b.door.observe(b.congestion(now, r, a, result, elapsed), b.outTotal, b.servedRate.mean(now), b.aimRate.mean(now))
 	}
-	if over || r.closed {
-		b.end(r)
-		return
-	}
-	b.next(r, result, now)
-}
-
-// next decides what follows a failed attempt.
-func (b *Balancer) next(r *request, result Result, now time.Duration) {
 	switch {
+	case over || r.closed:
+		b.end(r)
 	case now < r.deadline && b.retryTokens >= 1:
 		b.retryTokens--
 		b.try(r, now)
 	case r.out > 0:
 	case now >= r.deadline:
 		b.fail(r)
-	default: // out of budget: what never ran waits its turn, which slows the callers above
-		delay := retryDelay << min(len(r.attempts), 5)
-		delay += time.Duration(b.rng.Float64() * float64(delay))
-		if !result.neverRan() || now+delay-r.arrived > min(b.cfg.Classes[r.class].Aim, r.deadline-r.arrived)/2 {
-			b.giveUp(r, now)
-			return
-		}
-		b.after(r, delay, timerHeld)
+	default:
+		b.giveUp(r, now)
 	}
 }
 
-// retryDelay is the first wait of a request that was turned away, doubled each time.
-const retryDelay = 10 * time.Millisecond // about what a queue slot takes to come free
-
 // learn books an outcome with its endpoint and class.
 func (b *Balancer) learn(now time.Duration, r *request, a *attempt, number int, result Result, elapsed time.Duration) {
 	e := &b.eps[a.endpoint]
-	e.land(r.id, number)
+	e.land(flight{r, number})
 	switch result {
 	case OK:
 		b.servedRate.add(now, 1)
+		b.retryTokens = min(b.retryTokens+retryShare, max(retryLeast, b.servedRate.mean(now)*retrySpan.Seconds()))
 		b.aimRate.add(now, b.cfg.Classes[r.class].Aim.Seconds())
+		b.door.ok, b.door.took = b.door.ok+1, b.door.took+elapsed.Seconds()
 		e.servedAt = now
 		took := elapsed.Seconds() / a.ratio
 		if e.n > 0 {
@@ -660,6 +644,9 @@
 		c.mean += (elapsed.Seconds() - c.mean) / c.n
 	case Error: // may be the fault of a tier behind, or come from all alike: one alone says little
 		e.failures.add(now, e.failures.count(now)+0.5)
+		if !a.late {
+			b.door.failed, b.door.lost = b.door.failed+1, b.door.lost+elapsed.Seconds()
+		}
 	case Overloaded, Timeout, ConnectError, Reset:
 		e.failures.add(now, 1)
 	}
@@ -714,7 +701,5 @@
 		b.noteLate(now, r)
 	case kind == timerDeadline || len(r.attempts) == 0:
 		b.giveUp(r, now)
-	case r.out == 0: // held
-		b.try(r, now)
 	}
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -152,7 +152,7 @@
 	b, _ := newTest(t, testConfig(), "a", "b")
 	b.eps[0].addSample(0, 0.010)
 	b.eps[1].addSample(0, 0.010)
-	b.eps[1].flights = append(b.eps[1].flights, flight{id: 9, ratio: 1})
+	b.eps[1].flights = append(b.eps[1].flights, flight{of: &request{attempts: []attempt{{ratio: 1}}}})
 	if m := b.eps[1].mean(500 * ms); math.Abs(m-0.255) > 1e-9 {
 		t.Errorf("mean with an attempt out for 500 ms: got %v, want 0.255", m)
 	}
@@ -282,8 +282,8 @@
 		s := h.sends[done]
 		b.Outcome(ms, s.id, len(b.requests[s.id].attempts)-1, Overloaded, ms, false)
 	}
-	if extra := len(h.sends) - 1000; extra == 0 || extra > retryBurst {
-		t.Errorf("got %d further attempts at once, want 1 to %d", extra, retryBurst)
+	if extra := len(h.sends) - 1000; extra == 0 || extra > retryLeast {
+		t.Errorf("got %d further attempts at once, want 1 to %d", extra, retryLeast)
 	}
 }
 
@@ -581,13 +581,13 @@
 	a := admission{limit: 200}
 	for range congestionLeast {
 		a.late++
-		a.observe(true, 200, 30)
+		a.observe(true, 200, 1000, 30)
 	}
 	if a.limit != 30 {
 		t.Errorf("limit %v after a jammed round trip, want 30", a.limit)
 	}
 	for range 200 { // turned away, not late: fewer served is no reason
-		a.observe(true, 30, 5)
+		a.observe(true, 30, 1000, 5)
 	}
 	if a.limit < 15 {
 		t.Errorf("limit %v after a round trip turned away, want over half of 30", a.limit)
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -23,12 +23,10 @@
 	crossingWeight = 100 // price of a crossing as time: at one point in a hundred another zone reads twice as slow
 )
 
-// flight is an attempt that has no outcome yet.
+// flight is an attempt that has no outcome yet, by its number.
 type flight struct {
-	id      RequestID
-	attempt int
-	sent    time.Duration
-	ratio   float64 // class ratio at the send; divides the age
+	of     *request
+	number int
 }
 
 // endpoint is what one balancer knows about one server: its list entry and
@@ -161,8 +159,9 @@
 func (e *endpoint) mean(now time.Duration) float64 {
 	sum, n := e.sum, float64(e.n)
 	known := sum / max(n, 1)
-	for i := range e.flights {
-		if age := (now - e.flights[i].sent).Seconds() / e.flights[i].ratio; age > known {
+	for _, f := range e.flights {
+		a := &f.of.attempts[f.number]
+		if age := (now - a.sent).Seconds() / a.ratio; age > known {
 			sum += age
 			n++
 		}
@@ -170,8 +169,8 @@
 	return sum / max(n, 1)
 }
 
-func (e *endpoint) land(id RequestID, attempt int) {
-	if k := slices.IndexFunc(e.flights, func(f flight) bool { return f.id == id && f.attempt == attempt }); k >= 0 {
+func (e *endpoint) land(landed flight) {
+	if k := slices.Index(e.flights, landed); k >= 0 {
 		e.flights = slices.Delete(e.flights, k, k+1)
 	}
 }
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -25,8 +25,9 @@
 	callFrom func(from int, id RequestID, addr string, timeout time.Duration, done func(Result)) // the same, told which Balancer calls
 	refused  func(id RequestID, retryAfter time.Duration)                                        // told before ended
 	clock    *fleet                                                                              // whose time and events these are; its own without it
-	watch    func(i int)                                                                         // a Balancer asks for the list
-	unsafe   bool                                                                                // no attempt may follow one that may have run
+	sentID   func(id RequestID)
+	watch    func(i int) // a Balancer asks for the list
+	unsafe   bool        // no attempt may follow one that may have run
 	ended    func(served bool)
 	endedID  func(id RequestID, served bool)
 	begun    func(id RequestID)
@@ -132,6 +133,9 @@
 		h.f.t.Errorf("attempt %d of a request that may have run and is unsafe to repeat", number)
 	}
 	h.ran[id] = true
+	if h.f.sentID != nil {
+		h.f.sentID(id)
+	}
 	if h.f.sent != nil {
 		h.f.sent(addr, number)
 	}
@@ -345,10 +349,8 @@
 // A third of 60 endpoints falls silent under 80 Balancers: no connection comes up
 // there, and what is out gets no answer. Then, for two seconds, all the others answer
 // with errors at once, as a tier does whose own next tier is lost. Attempts for a
-// first try are bounded in the worst span of 2 s: each request taken adds retryShare
-// of a try again, and each Balancer has saved up retryBurst of them at the most. What
-// never ran may wait for its turn beyond that; few do, as draws leave the zone until
-// all others fail too.
+// first try are bounded in the worst span of 2 s: each request that is served adds retryShare
+// of a try again, and each Balancer has saved up what it serves in retrySpan at the most.
 func TestFleetAttemptsBounded(t *testing.T) {
 	const perSecond, cut, sick = 2000.0, 8 * time.Second, 15 * time.Second
 	for seed := range uint64(3) {
@@ -391,10 +393,10 @@
 			for i := k; i < k+4; i++ {
 				a, b = a+all[i], b+first[i]
 			}
-			worst = max(worst, float64(a)/float64(b)-80*retryBurst/float64(b))
+			worst = max(worst, (float64(a)-perSecond*retrySpan.Seconds())/float64(b))
 		}
 		t.Logf("seed %d: %.3f attempts a first try in the worst 2 s, less what was saved up; %.4f served between the troubles", seed, worst, float64(served)/float64(asked))
-		if bound := 1 + retryShare + 0.1; worst > bound { // 0.1 for those that wait
+		if bound := 1 + retryShare; worst > bound {
 			t.Errorf("seed %d: %.3f attempts a first try in the worst 2 s, less what was saved up, want %.2f at most", seed, worst, bound)
 		}
 		if float64(served) < 0.98*float64(asked) {
