What reached no endpoint waits its turn again; three lines less at the door

Seen: TestNothingIsSentOnForWhoLeft and TestConnectionsComeUpTooLate failed since retries cost tokens: 70 requests before one endpoint whose connections come up late were given up on with 503 once five tokens had gone. Cause: the waiting turn was taken out for all that never ran. What was turned away had cost an endpoint a handshake; what found no connection has cost none.

Change: an attempt whose connection did not come up waits its turn as before. The bound on retries is for attempts that reach an endpoint. Both tests pass, unchanged.

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -107,11 +107,8 @@
 func (a *admission) admits(value, part float64, out int) bool {
 	a.seen = min(a.seen+1, valueMemory)
 	a.meanValue += (value - a.meanValue) / a.seen
-	if a.limit == 0 {
-		return true
-	}
 	relative := min(1, value*part/max(a.meanValue, math.SmallestNonzeroFloat64))
-	ok := float64(out) < a.limit*(shedFrom+(1-shedFrom)*relative)
+	ok := a.limit == 0 || float64(out) < a.limit*(shedFrom+(1-shedFrom)*relative)
 	a.refused = a.refused || !ok
 	return ok
 }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -449,13 +449,15 @@
 	retryShare = 0.2                    // retries for each request that is served
 	retrySpan  = 200 * time.Millisecond // of what is served may be saved up as retries: a fleet must not have saved up a storm
 	retryLeast = 5                      // that a stream however thin may save up
+	retryDelay = 10 * time.Millisecond  // the first wait where no connection came up, doubled each time
 )
 
 // try sends the next attempt of r if an endpoint can take it, or holds r.
 func (b *Balancer) try(r *request, now time.Duration) {
 	switch i := b.pick(r, now); {
 	case i >= 0:
-		if !b.tooSlow(r, i, now) || !b.refuse(r, now) {
+		// Over a third of all calls take less than half of the endpoint's mean: less is hopeless.
+		if b.eps[i].mean(now)*b.ratio(r.class)/2 <= (r.deadline-now).Seconds() || !b.refuse(r, now) {
 			b.send(r, i, now)
 		}
 	case r.out > 0:
@@ -486,12 +488,6 @@
 	}
 }
 
-// tooSlow tells that the time left is hopelessly short of the chosen endpoint's
-// mean. Over a third of all calls take less than half of it.
-func (b *Balancer) tooSlow(r *request, i int, now time.Duration) bool {
-	return b.eps[i].mean(now)*b.ratio(r.class)/2 > (r.deadline - now).Seconds()
-}
-
 // maySend is the condition of every send: open and in time, within the attempt limit, to
 // a ready endpoint, as semantics and cold budget permit. send checks it again.
 func (b *Balancer) maySend(r *request, i int, now time.Duration) bool {
@@ -603,6 +599,7 @@
 	if !a.late {
 		b.door.observe(b.congestion(now, r, a, result, elapsed), b.outTotal, b.servedRate.mean(now), b.aimRate.mean(now))
 	}
+	delay := retryDelay << min(len(r.attempts), 5)
 	switch {
 	case over || r.closed:
 		b.end(r)
@@ -612,6 +609,9 @@
 	case r.out > 0:
 	case now >= r.deadline:
 		b.fail(r)
+	case (result == ConnectError || result == NotSent) && now+2*delay-r.arrived <= min(b.cfg.Classes[r.class].Aim, r.deadline-r.arrived)/2:
+		// Out of budget: what reached no endpoint waits its turn, which costs none of them anything.
+		b.after(r, time.Duration((1+b.rng.Float64())*float64(delay)), timerHeld)
 	default:
 		b.giveUp(r, now)
 	}
@@ -701,5 +701,7 @@
 		b.noteLate(now, r)
 	case kind == timerDeadline || len(r.attempts) == 0:
 		b.giveUp(r, now)
+	case r.out == 0: // held
+		b.try(r, now)
 	}
 }
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -38,11 +38,11 @@
 	n, next  int
 	sum      float64
 	failures failures
-	servedAt time.Duration
-	sentAt   time.Duration
 	flights  []flight
-	refs     int           // attempts of requests that are still known
-	goneAt   time.Duration // when the list dropped it, while it is Gone
+	refs     int // attempts of requests that are still known
+
+	servedAt, sentAt time.Duration
+	goneAt           time.Duration // when the list dropped it, while it is Gone
 
 	tokens   float64 // cold budget: sends allowed now
 	tokensAt time.Duration
