--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -21,6 +21,7 @@
 	answer   func(addr string, number int) (Result, time.Duration)
 	sent     func(addr string, number int)
 	choose   func() int                                                                          // who takes the next request; all alike without it
+	surge    func() float64                                                                      // what the rate of requests is multiplied by now
 	call     func(addr string, timeout time.Duration, done func(Result))                         // answers in its own time, instead of answer
 	callFrom func(from int, id RequestID, addr string, timeout time.Duration, done func(Result)) // the same, told which Balancer calls
 	refused  func(id RequestID, retryAfter time.Duration)                                        // told before ended
@@ -106,7 +107,11 @@
 			f.begun(f.lastID)
 		}
 		f.at[i].Request(f.now, f.lastID, class, -1, budget)
-		f.after(time.Duration(f.rng.ExpFloat64()/perSecond*float64(time.Second)), arrive)
+		rate := perSecond
+		if f.surge != nil {
+			rate *= f.surge()
+		}
+		f.after(time.Duration(f.rng.ExpFloat64()/rate*float64(time.Second)), arrive)
 	}
 	f.after(0, arrive)
 	for len(f.events) > 0 && f.events[0].at < until {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -30,9 +30,8 @@
 	// is in use again by then, the second answer would be taken for the next request's.
 	// A request for which there is none that has rested waits for the one nearest to it,
 	// which costs less than a new one; where one more would be used all the time, it is
-	// dialled beside. The
-	// rest is longer for a while once bytes have come that belong to no request. 0 for no
-	// rest.
+	// dialled beside. The rest is longer for a while once bytes have come that belong to no
+	// request. 0 for no rest.
 	Rest time.Duration
 
 	MaxAnswer  int           // bytes of the longest body that is passed on; 0 for 1 MiB
