--- a/internal/pool/silent_test.go
+++ b/internal/pool/silent_test.go
@@ -215,3 +215,38 @@
 		t.Errorf("heard %v after the reload, want 4 s and half of a grace of 3 s", took)
 	}
 }
+
+// The watches of many followers fall silent at once, and an endpoint begins to drain right
+// behind: each of them opens its watch anew and has heard of it by the time at which it
+// counts as told, pushed 6 s after the silence, asked 2 s after the wait.
+func TestManyWatchesFallSilent(t *testing.T) {
+	const many = 20
+	asked := nodes.Times{Wait: time.Second, Answer: time.Second, List: 2 * time.Second}
+	for _, c := range []struct {
+		name  string
+		asked bool
+		times nodes.Times
+		most  time.Duration
+	}{{"pushed", false, nodes.PushTimes(2 * time.Second), 6 * time.Second}, {"asked", true, asked, asked.Wait + 2*time.Second}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newScripted(t, "127.0.0.1:1")
+			pools := make([]*Pool, many)
+			for i := range pools {
+				pools[i] = follows(t, c.asked, nodes.NewDiscovery(s.Listener.Addr().String(), c.times))
+			}
+			s.set(func() { s.hush = many })
+			for range many {
+				<-s.heard
+			}
+			began := time.Now()
+			s.set(func() { s.status = "terminating" })
+			for _, p := range pools {
+				eventually(t, "the drain is heard", drained(p))
+			}
+			if took := time.Since(began); took > c.most {
+				t.Errorf("the last of %d has heard %v after the silence, want %v at most", many, took, c.most)
+			}
+		})
+	}
+}
