No attempt begins for a caller that left over 50 ms ago, also where nobody could notice

Seen: with the goroutine that reads a caller's connection held up for 0.1 s, all attempts begin although the caller has left, in every way to wait. Cause: a departure is only known once caller.watchOut has read it, or watchUpload has ticked; a request that lies unread is sent on without a look (caller.one, carry), and so is what was held, dialled or failed meanwhile, as attempt.Confirm asks the Balancer alone, which has not been told. Ruled out: Call.enter and the write deadline, which hold once Withdraw has been called.

attempt.Confirm, right before the first byte, looks at the caller's socket if it was last known to be there over 50 ms before (Request.Seen: before the last answer on its connection was written, callers send the next one after it; unknown for the first), and withdraws the request if it has left.

--- a/internal/front/http/caller.go
+++ b/internal/front/http/caller.go
@@ -87,6 +87,7 @@
 	gone    chan struct{} // closed when the connection is given up for another
 	done    chan struct{} // closed when its descriptor is free
 	rejects int           // in a row
+	seen    time.Time     // nothing of the request that is read had come by then; zero if that is not known
 	resumed bool          // it was another process's, and has brought requests there
 	pass    Pass          // that of the Callers at the last move
 	req     Request       // the one that is being read or is out
@@ -428,6 +429,9 @@
 	return !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// Left implements pool.Caller.
+func (c *caller) Left() bool { return sock.Left(c.conn) }
+
 // uploadLook is how often a caller is looked at whose body waits to be sent on, or is.
 const uploadLook = 25 * time.Millisecond
 
@@ -471,6 +475,8 @@
 			Out:    p.Out,
 			Name:   p.id,
 			Reply:  c.reply,
+			Caller: c,
+			Seen:   c.seen,
 		}
 		switch {
 		case b != nil && b.rest != nil:
@@ -563,6 +569,7 @@
 // give writes an answer and tells whether another request may follow.
 func (c *caller) give(req *Request, a answer, goesOn bool) bool {
 	goesOn = goesOn && !req.Close && req.Minor > 0 && c.in.Buffered() == 0 && !c.ending()
-	c.conn.SetWriteDeadline(time.Now().Add(unread))
+	c.seen = time.Now() // callers send the next request once they have the answer
+	c.conn.SetWriteDeadline(c.seen.Add(unread))
 	return a.write(c.conn, req.Method, goesOn) == nil && goesOn
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -84,6 +84,11 @@
 
 	Reply chan Answer // takes the one answer, with room for it; made if it is nil
 
+	// Caller is asked, unless it is nil, whether it is still there right before an attempt
+	// that begins over lookAfter after Seen, when it surely was.
+	Caller Caller
+	Seen   time.Time
+
 	// Name is what the caller calls the request, for the log alone.
 	Name string
 
@@ -105,6 +110,12 @@
 	trail     []step           // attempts, of a request that may end wrongly
 }
 
+// Caller is who sent a request.
+type Caller interface {
+	// Left tells whether it has gone away. It may be called beside all else.
+	Left() bool
+}
+
 // Verdict is how a request ended.
 type Verdict int
 
@@ -316,7 +327,7 @@
 func (p *Pool) Withdraw(r *Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if r.answered || r.detached {
+	if r.answered || r.detached || r.withdrawn {
 		return
 	}
 	r.withdrawn = true
@@ -449,11 +460,20 @@
 // confirmAfter is how long a decision stands without being asked for again.
 const confirmAfter = 10 * time.Millisecond
 
-// Confirm implements upstream.Confirmer. While a connection came up the node may have
+// lookAfter is how long a caller is taken to be there still. Who watches for its leaving
+// may not have got to run, nor whoever read the request, and what begins 0.1 s after it
+// has left is work for nobody.
+const lookAfter = 50 * time.Millisecond
+
+// Confirm implements upstream.Confirmer. The caller may have left unseen. While a connection came up the node may have
 // been told to be draining, or the time in which it drops a repeat may have run out.
 func (a *attempt) Confirm() bool {
-	p := a.pool
-	if p.now()-a.sent < confirmAfter {
+	p, r, now := a.pool, a.of, time.Now()
+	if r.Caller != nil && now.Sub(r.Seen) > lookAfter && r.Caller.Left() {
+		p.Withdraw(r)
+		return false
+	}
+	if now.Sub(p.start)-a.sent < confirmAfter {
 		return true
 	}
 	p.mu.Lock()
