--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -465,8 +465,9 @@
 // has left is work for nobody.
 const lookAfter = 50 * time.Millisecond
 
-// Confirm implements upstream.Confirmer. The caller may have left unseen. While a connection came up the node may have
-// been told to be draining, or the time in which it drops a repeat may have run out.
+// Confirm implements upstream.Confirmer. The caller may have left unseen. While a connection
+// came up the node may have been told to be draining, or the time in which it drops a repeat
+// may have run out.
 func (a *attempt) Confirm() bool {
 	p, r, now := a.pool, a.of, time.Now()
 	if r.Caller != nil && now.Sub(r.Seen) > lookAfter && r.Caller.Left() {
