An unsafe attempt is not taken for what it would repeat when it is asked for again

Seen: of an unsafe request on a connection that rests 200 ms, three attempts were denied and the request was refused with nothing sent. Cause: Balancer.Confirm asks mayRepeat, whose firstRun counts the attempt itself, as it is out and not known never to have run; for what may not run twice that was always a no. Every such attempt whose connection took over 10 ms to come up, rested or did not get to run was held back, since attempts are asked for again. Ruled out: keyed ones (their group holds itself) and safe ones.

Change: the attempt that is asked for counts as not run.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -534,8 +534,10 @@
 	if r == nil || r.closed || now >= r.deadline {
 		return false
 	}
-	e := &b.eps[r.attempts[number].endpoint]
-	return e.State == Ready && b.mayRepeat(r, e, now)
+	a := &r.attempts[number]
+	a.neverRan = true // so far: it is not what it would repeat
+	defer func() { a.neverRan = false }()
+	return b.eps[a.endpoint].State == Ready && b.mayRepeat(r, &b.eps[a.endpoint], now)
 }
 
 // refuse is the gate for refusals: while a repeat is harmless anywhere.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -287,6 +287,27 @@
 	}
 }
 
+// An attempt that could not begin at once may begin if nothing but it may have run: also one
+// of a request that must not run twice. Seen on connections that rested or came up late: each
+// such attempt was taken for what it would repeat, and its request refused unsent.
+func TestConfirmLooksAtEarlierAttempts(t *testing.T) {
+	for class, c := range testConfig().Classes {
+		b, _ := newTest(t, testConfig(), "a", "b", "c")
+		b.Request(0, 1, class, 0, time.Second)
+		if !b.Confirm(20*ms, 1, 0) {
+			t.Errorf("semantics %d: the first attempt may not begin after 20 ms", c.Semantics)
+		}
+		b.Outcome(30*ms, 1, 0, ConnectError, 10*ms, false)
+		if r := b.requests[1]; r == nil || len(r.attempts) != 2 || !b.Confirm(60*ms, 1, 1) {
+			t.Fatalf("semantics %d: the second attempt may not begin, and the first never ran", c.Semantics)
+		}
+		b.eps[b.requests[1].attempts[1].endpoint].State = Draining
+		if b.Confirm(70*ms, 1, 1) {
+			t.Errorf("semantics %d: may begin at what drains", c.Semantics)
+		}
+	}
+}
+
 // A server that refuses connections keeps its mean, as refusals add no time.
 func TestRefusedConnectionsStopNewOnes(t *testing.T) {
 	b, h := newTest(t, testConfig(), "a", "b")
--- a/internal/pool/told_test.go
+++ b/internal/pool/told_test.go
@@ -101,6 +101,7 @@
 		"late":                               {late: true},
 		"late, once":                         {late: true, once: true},
 		"resting":                            {resting: true},
+		"resting, once":                      {resting: true, once: true},
 		"after Confirm":                      {late: true, held: true},
 		"further":                            {further: true},
 		"further, late":                      {further: true, late: true},
