Lines through costs, and predictions that are put to the test

`internal/capacity` (no I/O, no clock): a line by least squares with residuals and the interval of its slope, the interval of one more measurement, and the prediction of the largest size, which does not hold where it misses by more than 20%.

--- /dev/null
+++ b/internal/capacity/fit_test.go
@@ -0,0 +1,91 @@
+package capacity
+
+import (
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func near(a, b float64) bool { return math.Abs(a-b) <= 1e-6*(1+math.Abs(a)+math.Abs(b)) }
+
+// A known line: the slope, its interval and the interval of one more measurement are
+// those of a textbook (x 1 to 5, y 2, 4, 5, 4, 5).
+func TestFitOfATextbook(t *testing.T) {
+	l, err := Fit([]Point{{1, 2}, {2, 4}, {3, 5}, {4, 4}, {5, 5}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	low, high := l.Interval(6)
+	for _, x := range []struct {
+		what      string
+		got, want float64
+	}{
+		{"slope", l.Slope, 0.6}, {"cost of 0", l.At0, 2.2},
+		{"slope, low", l.SlopeLow, 0.6 - 3.182*math.Sqrt(0.8)/math.Sqrt(10)},
+		{"slope, high", l.SlopeHigh, 0.6 + 3.182*math.Sqrt(0.8)/math.Sqrt(10)},
+		{"one more, low", low, 5.8 - 3.182*math.Sqrt(0.8)*math.Sqrt(1+0.2+0.9)},
+		{"one more, high", high, 5.8 + 3.182*math.Sqrt(0.8)*math.Sqrt(1+0.2+0.9)},
+		{"residual of the third", l.Residuals[2], 1},
+	} {
+		if !near(x.got, x.want) {
+			t.Errorf("%s: %v, want %v", x.what, x.got, x.want)
+		}
+	}
+}
+
+// What lies on a line is told exactly, at any size; what lies beside it has residuals
+// that sum to nothing.
+func TestFitProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := rapid.Float64Range(-100, 100).Draw(t, "at 0"), rapid.Float64Range(-100, 100).Draw(t, "slope")
+		n := rapid.IntRange(3, 8).Draw(t, "sizes")
+		var on, off []Point
+		for i := range n {
+			x := float64(i + 1)
+			on = append(on, Point{x, a + b*x})
+			off = append(off, Point{x, a + b*x + rapid.Float64Range(-1, 1).Draw(t, "noise")})
+		}
+		l, err := Fit(on)
+		if err != nil || !near(l.At(100), a+b*100) || l.SlopeHigh-l.SlopeLow > 1e-6 {
+			t.Fatalf("on a line: %+v, %v", l, err)
+		}
+		if l, err = Fit(off); err != nil {
+			t.Fatal(err)
+		}
+		sum := 0.0
+		for _, r := range l.Residuals {
+			sum += r
+		}
+		low, high := l.Interval(float64(n))
+		if math.Abs(sum) > 1e-6 || !(l.SlopeLow <= l.Slope && l.Slope <= l.SlopeHigh && low <= l.At(float64(n)) && l.At(float64(n)) <= high) {
+			t.Fatalf("residuals sum to %v, slope %v in %v to %v", sum, l.Slope, l.SlopeLow, l.SlopeHigh)
+		}
+	})
+}
+
+func TestFitRefusesWhatIsNoLine(t *testing.T) {
+	for _, points := range [][]Point{nil, {{1, 1}}, {{1, 1}, {1, 2}}, {{1, 1}, {2, math.NaN()}}, {{1, 1}, {2, math.Inf(1)}}} {
+		if l, err := Fit(points); err == nil {
+			t.Errorf("%v: %+v", points, l)
+		}
+	}
+	l, err := Fit([]Point{{1, 1}, {2, 2}})
+	if err != nil || !math.IsNaN(l.SlopeLow) {
+		t.Errorf("of two points: %+v, %v", l, err)
+	}
+}
+
+func TestMissOver20PerCentDoesNotHold(t *testing.T) {
+	for _, x := range []struct {
+		predicted, measured float64
+		holds               bool
+	}{{100, 100, true}, {120, 100, true}, {81, 100, true}, {79, 100, false}, {121, 100, false}, {0, 0, true}, {1, 0, false}} {
+		if p := (Prediction{Predicted: x.predicted, Measured: x.measured}); p.Holds() != x.holds {
+			t.Errorf("predicted %v, measured %v: holds %t", x.predicted, x.measured, p.Holds())
+		}
+	}
+	if Half(4) != 2 || Half(6) != 3 || Half(5) != 2 {
+		t.Error("the smaller half is not half")
+	}
+}
