--- a/cmd/prove/main.go
+++ b/cmd/prove/main.go
@@ -21,7 +21,13 @@
 	"gorselink/internal/proving"
 )
 
-type command struct {
+// commands are the subcommands; to play an experiment is the one that needs no name.
+type commands struct {
+	Play playCommand `cmd:"" default:"withargs" help:"Play an experiment."`
+	Role roleCommand `cmd:"" hidden:"" help:"Play one part of a scale run, asked over the input."`
+}
+
+type playCommand struct {
 	File  string   `arg:"" type:"path" help:"The experiment, a TOML file."`
 	Build []string `sep:"none" placeholder:"NAME=PROGRAM" help:"A build to play it with, in place of the file's program. Several are played in turn, and the last is compared with the first."`
 	Turns int      `default:"1" help:"How often each build is played. Six pairs make an interval that is sure to 97 per cent."`
@@ -69,24 +75,28 @@
 
 // run does what the arguments say.
 func run(s *shell, args []string) error {
-	var c command
+	var c commands
 	parser, err := kong.New(&c, kong.Name("prove"), kong.Description("Play an experiment: many processes before stand-in nodes, with faults, counted and judged from outside."),
 		kong.Writers(s.out, s.err), kong.UsageOnError())
 	if err != nil {
 		return err
 	}
-	if _, err := parser.Parse(args); err != nil {
+	call, err := parser.Parse(args)
+	if err != nil {
 		return coded{fmt.Errorf("prove: %w", err), exitUsage}
 	}
-	return c.play(s)
+	return call.Run(s)
 }
 
-// play plays the experiment and tells what it measured.
-func (c *command) play(s *shell) error {
-	e, err := proving.Read(c.File)
+// Run plays the experiment and tells what it measured.
+func (c *playCommand) Run(s *shell) error {
+	e, scale, err := proving.ReadAny(c.File)
 	if err != nil {
 		return coded{err, exitUsage}
 	}
+	if scale != nil {
+		return c.playScale(s, scale)
+	}
 	if c.Check {
 		fmt.Fprintf(s.out, "%s: %d processes, %d nodes, %v, %d events, %d wants\n", c.File, e.Instances.Count, e.Nodes.Count, e.Span, len(e.Events), len(e.Wants))
 		return nil
@@ -129,7 +139,7 @@
 }
 
 // builds are the names and programs to play, in order.
-func (c *command) builds(e *proving.Experiment) (names, programs []string, err error) {
+func (c *playCommand) builds(e *proving.Experiment) (names, programs []string, err error) {
 	for _, b := range c.Build {
 		name, program, ok := strings.Cut(b, "=")
 		if !ok || name == "" || program == "" || strings.ContainsAny(name, "/ ") || slices.Contains(names, name) {
@@ -147,7 +157,7 @@
 }
 
 // conclude writes what all plays say together.
-func (c *command) conclude(s *shell, e *proving.Experiment, names []string, results []*proving.Result) error {
+func (c *playCommand) conclude(s *shell, e *proving.Experiment, names []string, results []*proving.Result) error {
 	if err := proving.WriteTable(s.out, names, proving.Compare(names, results)); err != nil {
 		return err
 	}
@@ -180,7 +190,7 @@
 	return nil
 }
 
-func (c *command) keep(e *proving.Experiment, names []string, results []*proving.Result) error {
+func (c *playCommand) keep(e *proving.Experiment, names []string, results []*proving.Result) error {
 	table, err := os.Create(filepath.Join(c.Out, "table.txt"))
 	if err != nil {
 		return err
--- a/internal/proving/rig_test.go
+++ b/internal/proving/rig_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"gorselink/internal/hollow"
 	"gorselink/internal/tomlfile"
 )
 
@@ -29,6 +30,12 @@
 
 func TestMain(m *testing.M) {
 	switch {
+	case len(os.Args) == 3 && os.Args[1] == asRole:
+		if err := hollow.Serve(os.Args[2], os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
 	case len(os.Args) > 3 && os.Args[1] == asPeer:
 		peer(os.Args[2], os.Args[3:])
 	case os.Getenv(asRig) != "":
--- /dev/null
+++ b/internal/proving/scale_keep.go
@@ -0,0 +1,72 @@
+package proving
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// WriteSlopes writes the slopes and figures of a run as the file that docs/CAPACITY.md is
+// made from, so that no figure is typed. What the machine spoilt is not in it.
+func (r *ScaleResult) WriteSlopes(w io.Writer, command string) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "# Written by a scale run; not to be changed by hand.\n\n[run]\nexperiment = %q\ncommand = %q\nseed = %d\ncores = %d\n", r.Experiment, command, r.Seed, r.Cores)
+	if r.Faster > 0 {
+		fmt.Fprintf(&b, "faster = %.6g\n", r.Faster)
+	}
+	for i := range r.Sweeps {
+		s := &r.Sweeps[i]
+		for k := range s.Lines {
+			l := &s.Lines[k]
+			last, base := s.Sizes[len(s.Sizes)-1], s.Sizes[0].Size
+			fmt.Fprintf(&b, "\n[[slopes]]\nby = %q\ncost = %q\nat0 = %.6g\nslope = %.6g\nleast = %d\nlargest = %d\n", s.Of, l.Cost, l.At0, l.Slope, s.Sizes[0].At, last.At)
+			for _, x := range []struct {
+				key   string
+				value *float64
+			}{{"low", l.Low}, {"high", l.High}, {"predicted", l.Predicted}, {"predicted_low", l.PredLow}, {"predicted_high", l.PredHigh}, {"measured", l.Measured}} {
+				if x.value != nil {
+					fmt.Fprintf(&b, "%s = %.6g\n", x.key, *x.value)
+				}
+			}
+			// The dimension of the sweep itself is none to divide by.
+			fmt.Fprint(&b, "base = {")
+			sep := ""
+			for _, d := range []struct {
+				name  string
+				value float64
+			}{{"sidecars", float64(base.Sidecars)}, {"services", float64(base.Services)}, {"endpoints", float64(base.Endpoints)}, {"changes", base.Changes}} {
+				if d.name != s.Of {
+					fmt.Fprintf(&b, "%s %s = %.6g", sep, d.name, d.value)
+					sep = ","
+				}
+			}
+			fmt.Fprint(&b, " }\n")
+		}
+	}
+	figures := func(of string, m *Measured) {
+		for _, cost := range slices.Sorted(maps.Keys(m.Costs)) {
+			fmt.Fprintf(&b, "\n[[figures]]\nname = %q\nvalue = %.6g\n", of+"."+cost, m.Costs[cost])
+		}
+		for _, x := range []struct {
+			name  string
+			value int
+		}{{"changes", m.Changes}, {"unreached", m.Unreached}, {"apart", m.Apart}} {
+			fmt.Fprintf(&b, "\n[[figures]]\nname = %q\nvalue = %d\n", of+"."+x.name, x.value)
+		}
+	}
+	for i := range r.Reals {
+		s := &r.Reals[i].Size
+		figures(fmt.Sprintf("real-%d-%g", s.Services, s.Changes), &r.Reals[i])
+	}
+	for i := range r.Reloads {
+		s := &r.Reloads[i].Size
+		figures(fmt.Sprintf("reload-%d-%d", s.Services, s.Endpoints), &r.Reloads[i])
+	}
+	if r.Day != nil {
+		figures("day", r.Day)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
