Scale runs: chains of tiers, a sidecar under load beside a storm, spoilt sizes again

What retries make of one request over many tiers, and what the fleet's control costs a request, are figures that the design hangs on and nobody has.

A size that the machine spoilt is measured once more, six times in a run at most. The slopes and figures of a run are written as a file that internal/capacity reads.

--- a/cmd/prove/scale.go
+++ b/cmd/prove/scale.go
@@ -25,8 +25,8 @@
 			return coded{fmt.Errorf("prove: --build %q, want NAME=PROGRAM", c.Build[0]), exitUsage}
 		}
 	}
-	if len(e.Reals) > 0 && o.Program == "" {
-		return coded{errors.New("prove: real sidecars need a program: --build NAME=PROGRAM"), exitUsage}
+	if e.NeedsProgram() && o.Program == "" {
+		return coded{errors.New("prove: real sidecars and chains need a program: --build NAME=PROGRAM"), exitUsage}
 	}
 	if c.Check {
 		fmt.Fprintf(s.out, "%s: a scale run: %d sweeps, %d real sizes, %d reloads, a day: %t\n", c.File, len(e.Sweeps), len(e.Reals), len(e.Reloads), e.Day != nil)
--- a/internal/proving/scale.go
+++ b/internal/proving/scale.go
@@ -28,6 +28,8 @@
 	Reals   []Size // single processes of the program, measured in the same way
 	Reloads []Size // of which one whole configuration is applied anew
 	Day     *Day
+	Chains  *Chains // what a sweep of depth plays
+	Beside  *Beside
 }
 
 // Size is a fleet to be measured.
@@ -51,6 +53,7 @@
 	"services":  func(s *Size, n int) { s.Services = n },
 	"endpoints": func(s *Size, n int) { s.Endpoints = n },
 	"changes":   func(s *Size, n int) { s.Changes = float64(n) },
+	"depth":     func(*Size, int) {}, // of chains, which have no hollow sidecars
 }
 
 // Day is a day of the fleet, played within Span.
@@ -121,6 +124,7 @@
 	s.Each = fleet.Whole("each", 100, 1, 1000)
 	s.Base = size(fleet, Size{Sidecars: 24, Services: 10, Endpoints: 10, Changes: 60})
 	fleet.End()
+	s.Chains = chains(top.Table("chains"))
 	for _, t := range top.List("sweeps") {
 		s.sweep(t)
 	}
@@ -140,11 +144,14 @@
 			}
 		}
 	}
+	if top.Has("beside") {
+		s.Beside = beside(top.Table("beside"), one)
+	}
 	if top.Has("day") {
 		s.day(top.Table("day"))
 	}
-	if len(s.Sweeps) == 0 && s.Day == nil && len(s.Reals) == 0 && len(s.Reloads) == 0 {
-		top.Wrong("sweeps", "", "something to measure: [[sweeps]], [[reals]], [[reloads]] or [day]")
+	if len(s.Sweeps) == 0 && s.Day == nil && s.Beside == nil && len(s.Reals) == 0 && len(s.Reloads) == 0 {
+		top.Wrong("sweeps", "", "something to measure: [[sweeps]], [[reals]], [[reloads]], [beside] or [day]")
 	}
 	top.End()
 	if err := top.Err(); err != nil {
@@ -153,6 +160,11 @@
 	return s, nil
 }
 
+// NeedsProgram tells whether processes of the program are played besides hollow sidecars.
+func (s *Scale) NeedsProgram() bool {
+	return len(s.Reals) > 0 || s.Beside != nil || slices.ContainsFunc(s.Sweeps, func(w Sweep) bool { return w.Of == "depth" })
+}
+
 // size reads what a fleet has; what is not there is as in without.
 func size(t *tomlfile.Table, without Size) Size {
 	s := Size{
@@ -187,6 +199,9 @@
 	} else if set := dimensions[w.Of]; set != nil {
 		last := s.Base
 		set(&last, w.Sizes[len(w.Sizes)-1])
+		if w.Of == "depth" && w.Sizes[len(w.Sizes)-1] > mostDepth {
+			t.Fault("sizes", list, fmt.Sprintf("a depth of %d at most, each tier is a process", mostDepth))
+		}
 		if w.Of != "endpoints" && w.Of != "changes" && last.Sidecars*last.Services > mostPools || last.Endpoints > 250 || last.Changes > 1e5 {
 			t.Fault("sizes", list, fmt.Sprintf("sidecars times services of %d at most, 250 endpoints, 100,000 changes a minute", mostPools))
 		}
--- a/internal/proving/scale_keep.go
+++ b/internal/proving/scale_keep.go
@@ -30,6 +30,13 @@
 					fmt.Fprintf(&b, "%s = %.6g\n", x.key, *x.value)
 				}
 			}
+			busy := []float64{}
+			for _, x := range s.points(s.Sizes, "busy") {
+				busy = append(busy, x.Y)
+			}
+			if len(busy) > 0 {
+				fmt.Fprintf(&b, "busy_least = %.3g\nbusy_most = %.3g\n", slices.Min(busy), slices.Max(busy))
+			}
 			// The dimension of the sweep itself is none to divide by.
 			fmt.Fprint(&b, "base = {")
 			sep := ""
@@ -45,7 +52,9 @@
 			fmt.Fprint(&b, " }\n")
 		}
 	}
+	// Two runs measure things of one name.
 	figures := func(of string, m *Measured) {
+		of = r.Experiment + "." + of
 		for _, cost := range slices.Sorted(maps.Keys(m.Costs)) {
 			fmt.Fprintf(&b, "\n[[figures]]\nname = %q\nvalue = %.6g\n", of+"."+cost, m.Costs[cost])
 		}
@@ -64,6 +73,16 @@
 		s := &r.Reloads[i].Size
 		figures(fmt.Sprintf("reload-%d-%d", s.Services, s.Endpoints), &r.Reloads[i])
 	}
+	for i := range r.Sweeps {
+		for k := range r.Sweeps[i].Sizes {
+			if m := &r.Sweeps[i].Sizes[k]; r.Sweeps[i].Of == "depth" {
+				figures(fmt.Sprintf("depth-%d", m.At), m)
+			}
+		}
+	}
+	if r.Beside != nil {
+		figures("beside", r.Beside)
+	}
 	if r.Day != nil {
 		figures("day", r.Day)
 	}
--- a/internal/proving/scale_result.go
+++ b/internal/proving/scale_result.go
@@ -33,6 +33,7 @@
 	Sweeps     []SweepResult `json:"sweeps,omitempty"`
 	Reals      []Measured    `json:"reals,omitempty"`
 	Reloads    []Measured    `json:"reloads,omitempty"`
+	Beside     *Measured     `json:"beside,omitempty"`
 	Day        *Measured     `json:"day,omitempty"`
 }
 
@@ -46,6 +47,7 @@
 	Changes   int                `json:"changes"`
 	Unreached int                `json:"unreached"` // subscribers that are there and lack a change at the end, over all changes
 	Apart     int                `json:"apart"`     // sidecars that do not have the registry's lists at the end
+	Crashed   int                `json:"crashed,omitempty"`
 }
 
 // SweepResult is one dimension at all its sizes.
@@ -85,12 +87,35 @@
 	{"force50", "ms until a change is in force at 50 of 100, median of the changes"},
 	{"force99", "ms, at 99 of 100"},
 	{"force100", "ms, at all"},
+	{"calm_p50", "ms through the whole chain, in calm, half of the requests"},
+	{"calm_p99", "ms, 99 of 100"},
 }
 
 var toldCosts = []struct{ name, unit string }{
 	{"force50_slowest", "ms, at 50 of 100, slowest change"},
 	{"force99_slowest", "ms, at 99 of 100, slowest change"},
 	{"force100_slowest", "ms, at all, slowest change"},
+	{"calm_last", "attempts at the last tier for each request at the first, in calm"},
+	{"calm_most", "attempts at the tier that had most, in calm"},
+	{"calm_failed", "share that failed, in calm"},
+	{"trouble_last", "attempts at the last tier, in trouble"},
+	{"trouble_most", "attempts at the tier that had most, in trouble"},
+	{"trouble_failed", "share that failed, in trouble"},
+	{"after_last", "attempts at the last tier, after it"},
+	{"after_most", "attempts at the tier that had most, after it"},
+	{"after_failed", "share that failed, after it"},
+	{"load_calm_p50", "ms of a request, half of them, in calm"},
+	{"load_storm_p50", "ms, in the storm"},
+	{"load_diff_p50", "ms, median difference of pairs"},
+	{"load_low_p50", "ms, its interval from"},
+	{"load_high_p50", "ms, to"},
+	{"load_calm_p99", "ms of a request, 99 of 100, in calm"},
+	{"load_storm_p99", "ms, in the storm"},
+	{"load_diff_p99", "ms, median difference of pairs"},
+	{"load_low_p99", "ms, its interval from"},
+	{"load_high_p99", "ms, to"},
+	{"load_sure", "per cent that the intervals hold with"},
+	{"load_failed", "requests that failed"},
 	{"start_calls", "calls of the start and of the time before measuring"},
 	{"start_bytes", "their bytes"},
 	{"busy", "per cent of the whole machine, by whoever"},
@@ -181,6 +206,9 @@
 	for i := range r.Reloads {
 		do(fmt.Sprintf("reload, %d services of %d endpoints", r.Reloads[i].Size.Services, r.Reloads[i].Size.Endpoints), &r.Reloads[i])
 	}
+	if r.Beside != nil {
+		do("beside load", r.Beside)
+	}
 	if r.Day != nil {
 		do("day", r.Day)
 	}
@@ -192,6 +220,9 @@
 		if m.Apart > 0 {
 			lines = append(lines, fmt.Sprintf("%s: %d sidecars do not have the lists at the end", what, m.Apart))
 		}
+		if m.Crashed > 0 {
+			lines = append(lines, fmt.Sprintf("%s: %d processes ended by themselves", what, m.Crashed))
+		}
 		if m.Unreached > 0 {
 			lines = append(lines, fmt.Sprintf("%s: changes have not reached %d subscribers", what, m.Unreached))
 		}
@@ -257,6 +288,13 @@
 			fmt.Fprintf(tw, "\t%s\t%s to %s\t%s\t%s to %s\t%s\t%s\n", number(l.Slope), orDash(l.Low), orDash(l.High), orDash(l.Predicted), orDash(l.PredLow), orDash(l.PredHigh), orDash(l.Measured), l.miss())
 		}
 	}
+	for i := range r.Sweeps {
+		if s := &r.Sweeps[i]; s.Of == "depth" {
+			for k := range s.Sizes {
+				fmt.Fprintf(tw, "\ndepth %d: %s", s.Sizes[k].At, &s.Sizes[k])
+			}
+		}
+	}
 	fmt.Fprintln(tw)
 	if r.Day != nil {
 		fmt.Fprintf(tw, "the day was played %.0f times faster than life\n", r.Faster)
--- a/internal/proving/scale_rig.go
+++ b/internal/proving/scale_rig.go
@@ -23,6 +23,25 @@
 	Self    []string // the command that plays a role, which is put behind it
 	Program string   // the program, for real sidecars
 	Tell    func(line string)
+
+	repeats int // of sizes that the machine spoilt
+}
+
+// mostRepeats bounds how often sizes that the machine spoilt are measured once more, over
+// the whole run, which is to end in time.
+const mostRepeats = 6
+
+// again measures, and once more where the machine was the bottleneck. What was spoilt is
+// told; its figures are gone.
+func (o *ScaleOptions) again(measure func() (*Measured, error)) (*Measured, error) {
+	for {
+		m, err := measure()
+		if err != nil || len(m.Void) == 0 || o.repeats >= mostRepeats {
+			return m, err
+		}
+		o.repeats++
+		o.tell("once more: %s", m)
+	}
 }
 
 func (o *ScaleOptions) tell(format string, args ...any) {
@@ -43,7 +62,7 @@
 		res.Sweeps = append(res.Sweeps, *sr)
 	}
 	for _, size := range s.Reals {
-		m, err := measureSize(ctx, s, size, &o, true)
+		m, err := o.again(func() (*Measured, error) { return measureSize(ctx, s, size, &o, true) })
 		if err != nil {
 			return nil, fmt.Errorf("a real sidecar with %d services: %w", size.Services, err)
 		}
@@ -51,13 +70,21 @@
 		res.Reals = append(res.Reals, *m)
 	}
 	for _, size := range s.Reloads {
-		m, err := measureReload(ctx, s, size, &o)
+		m, err := o.again(func() (*Measured, error) { return measureReload(ctx, s, size, &o) })
 		if err != nil {
 			return nil, fmt.Errorf("reload of %d services: %w", size.Services, err)
 		}
 		o.tell("reload, %d services of %d endpoints: %s", size.Services, size.Endpoints, m)
 		res.Reloads = append(res.Reloads, *m)
 	}
+	if s.Beside != nil {
+		m, err := playBeside(ctx, s, &o)
+		if err != nil {
+			return nil, fmt.Errorf("beside load: %w", err)
+		}
+		o.tell("beside load: %s", m)
+		res.Beside = m
+	}
 	if s.Day != nil {
 		m, err := playDay(ctx, s, &o)
 		if err != nil {
@@ -561,7 +588,17 @@
 		}
 		size := s.Base
 		dimensions[w.Of](&size, n)
-		m, err := measureSize(ctx, s, size, o, false)
+		measure := func() (*Measured, error) { return measureSize(ctx, s, size, o, false) }
+		if w.Of == "depth" {
+			measure = func() (*Measured, error) {
+				m, err := playChain(ctx, s, n, o)
+				if err != nil {
+					return nil, err
+				}
+				return m.voided(), nil
+			}
+		}
+		m, err := o.again(measure)
 		if err != nil {
 			return nil, fmt.Errorf("size %d: %w", n, err)
 		}
--- a/internal/proving/scale_test.go
+++ b/internal/proving/scale_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"gorselink/internal/capacity"
 	"gorselink/internal/hollow"
 	"gorselink/internal/nodes"
 	"gorselink/internal/standin"
@@ -368,3 +369,59 @@
 		t.Error("a slope that missed by half is used")
 	}
 }
+
+// What the machine spoilt is measured once more, so often at most over a whole run.
+func TestSpoiltSizesAreMeasuredAgain(t *testing.T) {
+	calls := 0
+	measure := func(spoilt int) func() (*Measured, error) {
+		calls = 0
+		return func() (*Measured, error) {
+			if calls++; calls <= spoilt {
+				return &Measured{Void: []string{"busy"}}, nil
+			}
+			return &Measured{}, nil
+		}
+	}
+	var o ScaleOptions
+	if m, err := o.again(measure(2)); err != nil || len(m.Void) > 0 || calls != 3 {
+		t.Errorf("%+v, %v after %d calls", m, err, calls)
+	}
+	if m, err := o.again(measure(99)); err != nil || len(m.Void) == 0 || calls != 1+mostRepeats-2 {
+		t.Errorf("%+v, %v after %d calls", m, err, calls)
+	}
+}
+
+// The page reads what a run has written, with nothing where the machine was the bottleneck.
+func TestSlopesAreReadBack(t *testing.T) {
+	s := SweepResult{Of: "sidecars"}
+	for i, calls := range []float64{200, 410, 590, 805} {
+		s.Sizes = append(s.Sizes, Measured{At: 10 * (i + 1), Size: Size{Sidecars: 10 * (i + 1), Services: 10}, Costs: map[string]float64{"calls": calls, "busy": 20 + float64(i)}})
+	}
+	last := s.Sizes[3]
+	s.Sizes = s.Sizes[:3]
+	s.predict(40)
+	s.Sizes = append(s.Sizes, last)
+	s.conclude()
+	r := ScaleResult{Experiment: "x", Seed: 7, Cores: 8, Faster: 1800, Sweeps: []SweepResult{s}, Reals: []Measured{{Size: Size{Services: 20}, Void: []string{"busy"}}}, Day: &Measured{Costs: map[string]float64{"calls": 12.5}, Changes: 3}}
+	var b strings.Builder
+	if err := r.WriteSlopes(&b, "prove x"); err != nil {
+		t.Fatal(err)
+	}
+	var in capacity.Inputs
+	if err := in.ReadSlopes("x.toml", []byte(b.String())); err != nil {
+		t.Fatalf("%v\n%s", err, b.String())
+	}
+	if len(in.Slopes) != 1 || in.Slopes[0].Name != "sidecars.calls" || in.Slopes[0].Slope != 19.95 || in.Slopes[0].Predicted != 830 || in.Slopes[0].Measured != 805 || in.Slopes[0].Base["services"] != 10 || in.Slopes[0].Base["sidecars"] != 0 || in.Slopes[0].Busy != 23 {
+		t.Errorf("%+v", in.Slopes)
+	}
+	got := map[string]float64{}
+	for _, f := range in.Figures {
+		got[f.Name] = f.Value
+	}
+	if got["x.day.calls"] != 12.5 || got["x.day.changes"] != 3 || len(got) != 7 {
+		t.Errorf("%v", got)
+	}
+	if len(in.Runs) != 1 || in.Runs[0].Faster != 1800 || in.Runs[0].Command != "prove x" {
+		t.Errorf("%+v", in.Runs)
+	}
+}
