docs/CAPACITY.md, made by bin/prove capacity from fleets, slopes and roles

What a fleet of 1,500 sidecars in 150 services costs, and what carries it, was nowhere to be read, and a typed page rots.

`bin/prove capacity` writes the page from experiments/capacity: fleets and roles by hand, slopes and figures as the runs wrote them; another fleet's by another file. A slope whose prediction missed by more than 20% gives no figure; "none yet", "reckoned" from what, and "open" stand where they must.

--- a/cmd/prove/main.go
+++ b/cmd/prove/main.go
@@ -23,8 +23,9 @@
 
 // commands are the subcommands; to play an experiment is the one that needs no name.
 type commands struct {
-	Play playCommand `cmd:"" default:"withargs" help:"Play an experiment."`
-	Role roleCommand `cmd:"" hidden:"" help:"Play one part of a scale run, asked over the input."`
+	Play     playCommand     `cmd:"" default:"withargs" help:"Play an experiment."`
+	Capacity capacityCommand `cmd:"" help:"Write the page of what a fleet costs from the files of its targets and slopes."`
+	Role     roleCommand     `cmd:"" hidden:"" help:"Play one part of a scale run, asked over the input."`
 }
 
 type playCommand struct {
