One rig for attempts that break off, one drawing, one way to tell a list

Cause: the change repeated what stood elsewhere: a rig of the departures' tests, the drawing of a chart for a page, the answer of a stand-in discovery.

--- a/internal/front/http/begin_test.go
+++ b/internal/front/http/begin_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"io"
 	"net"
-	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -76,53 +75,8 @@
 			return d
 		}
 	}
-	// again is a first attempt that its endpoint has whole and breaks off, having said so much.
 	again := func(say string) func(*testing.T) *departures {
-		return func(t *testing.T) *departures {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { l.Close() })
-			var mu sync.Mutex
-			var hung []net.Conn
-			go Accept(l, func(c net.Conn) {
-				go func() {
-					if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-						return
-					}
-					io.WriteString(c, say)
-					mu.Lock()
-					defer mu.Unlock()
-					hung = append(hung, c)
-				}()
-			})
-			w := newWitness(t, nil)
-			d := newDepartures(t, 8<<20, inService("s-1", w.addr), inService("s-2", l.Addr().String()))
-			d.Exclude(map[string]bool{"s-2": true})
-			d.serve()
-			for range 60 { // whose shares make up the budget of what is tried again
-				c := d.dial(t)
-				io.WriteString(c, view(""))
-				if status, _, err := get(bufio.NewReader(c)); status != 200 {
-					t.Fatalf("answered %d, %v, want 200", status, err)
-				}
-				c.Close()
-			}
-			d.Exclude(map[string]bool{"s-1": true})
-			d.seen = w
-			d.ready = func(n int) bool { mu.Lock(); defer mu.Unlock(); return len(hung) == n }
-			d.open = func() {
-				d.Exclude(map[string]bool{"s-2": true})
-				mu.Lock()
-				defer mu.Unlock()
-				for _, c := range hung {
-					c.(*net.TCPConn).SetLinger(0)
-					c.Close()
-				}
-			}
-			return d
-		}
+		return func(t *testing.T) *departures { return brokenOff(t, say) }
 	}
 	for name, c := range map[string]struct {
 		rig     func(*testing.T) *departures
--- a/internal/front/http/left_test.go
+++ b/internal/front/http/left_test.go
@@ -119,54 +119,6 @@
 		d.open = func() { d.Exclude(nil) }
 		return d
 	}
-	// again is a first attempt at an endpoint that has it whole and then breaks off, having
-	// said so much; the second would go to the witness.
-	again := func(t *testing.T, say string) *departures {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { l.Close() })
-		var mu sync.Mutex
-		var hung []net.Conn
-		go Accept(l, func(c net.Conn) {
-			go func() {
-				in := bufio.NewReader(c)
-				if _, err := http.ReadRequest(in); err != nil {
-					return
-				}
-				io.WriteString(c, say)
-				mu.Lock()
-				defer mu.Unlock()
-				hung = append(hung, c)
-			}()
-		})
-		w := newWitness(t, nil)
-		d := newDepartures(t, 8<<20, inService("s-1", w.addr), inService("s-2", l.Addr().String()))
-		d.Exclude(map[string]bool{"s-2": true})
-		d.serve()
-		for range 60 { // whose shares make up the budget of what is tried again
-			c := d.dial(t)
-			io.WriteString(c, view(""))
-			if status, _, err := get(bufio.NewReader(c)); status != 200 {
-				t.Fatalf("answered %d, %v, want 200", status, err)
-			}
-			c.Close()
-		}
-		d.Exclude(map[string]bool{"s-1": true})
-		d.seen = w
-		d.ready = func(n int) bool { mu.Lock(); defer mu.Unlock(); return len(hung) == n }
-		d.open = func() {
-			d.Exclude(map[string]bool{"s-2": true})
-			mu.Lock()
-			defer mu.Unlock()
-			for _, c := range hung {
-				c.(*net.TCPConn).SetLinger(0)
-				c.Close()
-			}
-		}
-		return d
-	}
 	dialling := func(t *testing.T, long int64) *departures {
 		l, err := standin.ListenLate()
 		if err != nil {
@@ -200,8 +152,8 @@
 		"a long body, dialling": {func(t *testing.T) *departures { return dialling(t, 1) }, func(id string, _ int) string {
 			return "POST /pay HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("b", 100000)
 		}, false, 0},
-		"a first attempt that hangs": {func(t *testing.T) *departures { return again(t, "") }, safe, true, few},
-		"half an answer":             {func(t *testing.T) *departures { return again(t, "HTTP/1.1 200 OK\r\nContent-Le") }, safe, true, few},
+		"a first attempt that hangs": {func(t *testing.T) *departures { return brokenOff(t, "") }, safe, true, few},
+		"half an answer":             {func(t *testing.T) *departures { return brokenOff(t, "HTTP/1.1 200 OK\r\nContent-Le") }, safe, true, few},
 	}
 	for name, c := range cases {
 		for _, leave := range []bool{true, false} {
@@ -297,3 +249,52 @@
 		})
 	}
 }
+
+// brokenOff is a first attempt at an endpoint that has it whole and then breaks off, having
+// said so much; the second would go to the witness.
+func brokenOff(t *testing.T, say string) *departures {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	var mu sync.Mutex
+	var hung []net.Conn
+	go Accept(l, func(c net.Conn) {
+		go func() {
+			in := bufio.NewReader(c)
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			io.WriteString(c, say)
+			mu.Lock()
+			defer mu.Unlock()
+			hung = append(hung, c)
+		}()
+	})
+	w := newWitness(t, nil)
+	d := newDepartures(t, 8<<20, inService("s-1", w.addr), inService("s-2", l.Addr().String()))
+	d.Exclude(map[string]bool{"s-2": true})
+	d.serve()
+	for range 60 { // whose shares make up the budget of what is tried again
+		c := d.dial(t)
+		io.WriteString(c, view(""))
+		if status, _, err := get(bufio.NewReader(c)); status != 200 {
+			t.Fatalf("answered %d, %v, want 200", status, err)
+		}
+		c.Close()
+	}
+	d.Exclude(map[string]bool{"s-1": true})
+	d.seen = w
+	d.ready = func(n int) bool { mu.Lock(); defer mu.Unlock(); return len(hung) == n }
+	d.open = func() {
+		d.Exclude(map[string]bool{"s-2": true})
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range hung {
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}
+	return d
+}
--- a/internal/proving/page.go
+++ b/internal/proving/page.go
@@ -128,7 +128,12 @@
 		p.Add(l)
 	}
 	p.X.Min, p.X.Max, p.Y.Max = 0, e.Span.Seconds(), most*1.05
-	c := vgsvg.New(20*vg.Centimeter, 6*vg.Centimeter)
+	return drawn(p, 20*vg.Centimeter)
+}
+
+// drawn is a chart of this width as an element of a page.
+func drawn(p *plot.Plot, width vg.Length) (string, error) {
+	c := vgsvg.New(width, 6*vg.Centimeter)
 	p.Draw(vgdraw.New(c))
 	var b bytes.Buffer
 	if _, err := c.WriteTo(&b); err != nil {
--- a/internal/proving/scale_result.go
+++ b/internal/proving/scale_result.go
@@ -1,7 +1,6 @@
 package proving
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"html/template"
@@ -18,7 +17,6 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 	vgdraw "gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
 
 	"gorselink/internal/capacity"
 )
@@ -383,17 +381,7 @@
 		p.Legend.Add("predicted", at)
 	}
 	p.X.Min, p.Y.Min = 0, min(0, p.Y.Min)
-	c := vgsvg.New(14*vg.Centimeter, 6*vg.Centimeter)
-	p.Draw(vgdraw.New(c))
-	var b bytes.Buffer
-	if _, err := c.WriteTo(&b); err != nil {
-		return "", err
-	}
-	_, svg, ok := strings.Cut(b.String(), "<svg")
-	if !ok {
-		return "", fmt.Errorf("a drawing without svg")
-	}
-	return "<svg" + svg, nil
+	return drawn(p, 14*vg.Centimeter)
 }
 
 var scalePage = template.Must(template.New("").Parse(`<!DOCTYPE html>
--- a/internal/standin/agent.go
+++ b/internal/standin/agent.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -128,7 +127,7 @@
 	if !watch {
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		tell(w, a.index, true, a.list)
+		tellList(w, a.index, true, a.list)
 		return
 	}
 	from, err := strconv.Atoi(after[0])
@@ -154,7 +153,7 @@
 		index, changed := a.index, a.changed
 		a.mu.Unlock()
 		if len(news) > 0 || ended {
-			tell(w, index, false, news)
+			tellList(w, index, false, news)
 			return
 		}
 		select {
@@ -166,11 +165,3 @@
 		}
 	}
 }
-
-func tell(w http.ResponseWriter, index int, snapshot bool, list []Entry) {
-	if list == nil {
-		list = []Entry{}
-	}
-	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(map[string]any{"index": index, "snapshot": snapshot, "endpoints": list})
-}
