balance: a short budget is no sign of overload where longer ones are served

Callers saw: while one caller of a pool sent requests with budgets too short to be served, requests of others were rejected with 503 at idle endpoints, and for up to a second afterwards.

Cause: isCongestion took each timeout for overload, also that of an attempt given 5 ms; the admission limit fell to its minimum. recordFailure counted it against endpoints and zones.

Change: a failure with a budget under the latency target is judged by the outcomes with the longest budgets of the last 2 s. If those are served, and quickly enough where such budgets are usually served, it is no congestion; if they never are, it does not count against the endpoint either. Without clearly longer budgets everything counts as before, so that an overload is still found where all callers have little time (TestOverloadWithShortBudgets).

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -189,12 +189,15 @@
 	return gain / math.Pow(b.durationRatio(class), 2)
 }
 
-// isCongestion reports whether an outcome indicates an overloaded tier. A
-// connect error does only if the endpoint served recently: its connection table is full
-// then, while an endpoint that is down or unreachable has not served.
+// isCongestion reports whether an outcome indicates an overloaded tier. A failure that a short
+// budget explains does not. A connect error does only if the endpoint served recently: its
+// connection table is full then, while an endpoint that is down or unreachable has not served.
 func (b *Balancer) isCongestion(now time.Duration, r *request, a *attempt, result Result, elapsed time.Duration) bool {
 	e := &b.endpoints[a.endpoint]
-	if result == ConnectError {
+	switch {
+	case a.shortBudget != countsFully:
+		return false
+	case result == ConnectError:
 		return e.servedAt > 0 && now-e.servedAt < recentlyServedWindow
 	}
 	return result == Overloaded || result == Timeout || result == OK && elapsed > b.cfg.Classes[r.class].LatencyTarget
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -162,7 +162,8 @@
 	sent           time.Duration
 	durationRatio  float64 // of its class at the time of sending
 	done, neverRan bool
-	late           bool // counted by markLate as past its latency target
+	late           bool        // counted by markLate as past its latency target
+	shortBudget    shortBudget // whether its budget explains its failure
 }
 
 type request struct {
@@ -194,6 +195,7 @@
 
 	requested, servedInTarget float64 // decaying counts of requests and of responses within the latency target
 
+	shortestServed   time.Duration // about the shortest budget of a served attempt; 0 if none was served
 	usualBudget      time.Duration // budget of most requests, by majority vote
 	usualBudgetVotes int
 }
@@ -232,6 +234,8 @@
 	inFlight            int     // attempts without an outcome
 	meanInFlight        float64 // time average of inFlight
 	admission           admission
+	history             outcomeHistory
+	metrics             Metrics
 	classes             []classStats
 	servedRate          rate
 	requestRate         rate
@@ -457,7 +461,7 @@
 	}
 	r := &request{id: id, class: class, arrived: now, deadline: now + budget}
 	b.requests[id] = r
-	if b.cfg.Entry && !b.admit(now, r, tenant) && b.reject(r, now) {
+	if b.cfg.Entry && !b.admit(now, r, tenant) && b.reject(r, now, RejectedByLimit) {
 		return
 	}
 	b.setTimer(r, budget, timerDeadline)
@@ -481,12 +485,12 @@
 	switch i := b.pick(r, now); {
 	case i >= 0:
 		// Reject if less than half of the expected duration is left: few calls are that fast.
-		if b.endpoints[i].mean(now)*b.durationRatio(r.class)/2 <= (r.deadline-now).Seconds() || !b.reject(r, now) {
+		if b.endpoints[i].mean(now)*b.durationRatio(r.class)/2 <= (r.deadline-now).Seconds() || !b.reject(r, now, RejectedForTime) {
 			b.send(r, i, now)
 		}
 	case r.inFlight > 0:
 	case len(r.attempts) > 0:
-		b.rejectOrFail(r, now)
+		b.rejectOrFail(r, now, RejectedNoEndpoint)
 	default:
 		if len(b.held) > 2*len(b.requests) { // no endpoint may become ready for hours
 			b.held = slices.DeleteFunc(b.held, func(id RequestID) bool { return b.requests[id] == nil })
@@ -566,12 +570,13 @@
 
 // reject rejects r if the client may repeat it at any endpoint, and reports whether it
 // did. No other code rejects requests.
-func (b *Balancer) reject(r *request, now time.Duration) bool {
+func (b *Balancer) reject(r *request, now time.Duration, reason RejectReason) bool {
 	c := &b.cfg.Classes[r.class]
 	harmless := c.Idempotency == Idempotent || c.Idempotency == IdempotentByKey && c.DeduplicationScope == ScopeAll || r.firstMaybeRun() == nil
 	if r.closed || !harmless {
 		return false
 	}
+	b.metrics.Rejected[reason]++
 	b.actions.Reject(r.id, b.retryAfter(r, now))
 	b.closeRequest(r)
 	return true
@@ -594,8 +599,8 @@
 }
 
 // rejectOrFail rejects r if that is permitted, and fails it otherwise.
-func (b *Balancer) rejectOrFail(r *request, now time.Duration) {
-	if !b.reject(r, now) {
+func (b *Balancer) rejectOrFail(r *request, now time.Duration, reason RejectReason) {
+	if !b.reject(r, now, reason) {
 		b.fail(r)
 	}
 }
@@ -623,6 +628,11 @@
 	a.neverRan = result.neverRan()
 	r.inFlight--
 	b.inFlight--
+	if a.shortBudget = b.judgeBudget(now, r, a, result); a.shortBudget != countsFully {
+		b.metrics.ShortBudgetFailures++
+	} else {
+		b.recordHistory(now, r, a, result, elapsed)
+	}
 	b.recordOutcome(now, r, a, number, result, elapsed)
 	if !a.late {
 		b.admission.observe(b.isCongestion(now, r, a, result, elapsed), b.inFlight, b.servedRate.mean(now), b.inTargetConcurrency.mean(now))
@@ -642,39 +652,53 @@
 		// retried, as they add no load.
 		b.setTimer(r, time.Duration((1+b.rng.Float64())*float64(delay)), timerHeld)
 	default:
-		b.rejectOrFail(r, now)
+		b.rejectOrFail(r, now, RejectedAfterFailure)
 	}
 }
 
 // recordOutcome adds an outcome to the measurements of its endpoint, zone and class.
 func (b *Balancer) recordOutcome(now time.Duration, r *request, a *attempt, number int, result Result, elapsed time.Duration) {
+	b.endpoints[a.endpoint].removeInFlight(attemptRef{r, number})
+	switch {
+	case result == OK:
+		b.recordServed(now, r, a, elapsed)
+	case a.shortBudget != neverServed:
+		b.recordFailure(now, a, result, elapsed)
+	}
+}
+
+func (b *Balancer) recordServed(now time.Duration, r *request, a *attempt, elapsed time.Duration) {
+	e, class := &b.endpoints[a.endpoint], &b.cfg.Classes[r.class]
+	b.servedRate.add(now, 1)
+	b.retryTokens = min(b.retryTokens+retriesPerServed, max(minRetryBurst, b.servedRate.mean(now)*retryBurstWindow.Seconds()))
+	b.inTargetConcurrency.add(now, class.LatencyTarget.Seconds())
+	b.admission.servedCount++
+	b.admission.servedSeconds += elapsed.Seconds()
+	e.servedAt = now
+	took := elapsed.Seconds() / a.durationRatio
+	if e.sampleCount > 0 {
+		d := took*float64(e.sampleCount)/e.sampleSum - 1
+		b.relativeVariance += (min(d*d, 4) - b.relativeVariance) / (classWindow / 4)
+	}
+	e.addSample(now, took)
+	e.failures.recordSuccess(now)
+	*b.zoneFailures(e.Zone) = failures{}
+	c := &b.classes[r.class]
+	if elapsed <= class.LatencyTarget {
+		c.servedInTarget++
+	}
+	c.sampleCount = min(c.sampleCount+1, classWindow)
+	c.meanSeconds += (elapsed.Seconds() - c.meanSeconds) / c.sampleCount
+}
+
+func (b *Balancer) recordFailure(now time.Duration, a *attempt, result Result, elapsed time.Duration) {
 	e := &b.endpoints[a.endpoint]
-	e.removeInFlight(attemptRef{r, number})
 	switch result {
-	case OK:
-		b.servedRate.add(now, 1)
-		b.retryTokens = min(b.retryTokens+retriesPerServed, max(minRetryBurst, b.servedRate.mean(now)*retryBurstWindow.Seconds()))
-		b.inTargetConcurrency.add(now, b.cfg.Classes[r.class].LatencyTarget.Seconds())
-		b.admission.servedCount, b.admission.servedSeconds = b.admission.servedCount+1, b.admission.servedSeconds+elapsed.Seconds()
-		e.servedAt = now
-		took := elapsed.Seconds() / a.durationRatio
-		if e.sampleCount > 0 {
-			d := took*float64(e.sampleCount)/e.sampleSum - 1
-			b.relativeVariance += (min(d*d, 4) - b.relativeVariance) / (classWindow / 4)
-		}
-		e.addSample(now, took)
-		e.failures.recordSuccess(now)
-		*b.zoneFailures(e.Zone) = failures{}
-		c := &b.classes[r.class]
-		if elapsed <= b.cfg.Classes[r.class].LatencyTarget {
-			c.servedInTarget++
-		}
-		c.sampleCount = min(c.sampleCount+1, classWindow)
-		c.meanSeconds += (elapsed.Seconds() - c.meanSeconds) / c.sampleCount
 	case Error: // counts half, as the cause may be a tier behind the endpoint
 		e.failures.add(now, e.failures.count(now)+0.5)
 		if !a.late {
-			b.admission.failedCount, b.admission.failedSeconds = b.admission.failedCount+1, b.admission.failedSeconds+elapsed.Seconds()
+			b.admission.failedCount++
+			b.admission.failedSeconds += elapsed.Seconds()
 		}
 	case Overloaded, Timeout, ConnectError, Reset:
 		e.failures.add(now, 1)
@@ -712,7 +736,7 @@
 // Close rejects or fails all open requests. It is called before the process ends.
 func (b *Balancer) Close(now time.Duration) {
 	for _, id := range slices.Sorted(maps.Keys(b.requests)) {
-		b.rejectOrFail(b.requests[id], now)
+		b.rejectOrFail(b.requests[id], now, RejectedOnClose)
 	}
 }
 
@@ -728,8 +752,10 @@
 	case r == nil || r.closed:
 	case kind == timerLate:
 		b.markLate(now, r)
-	case kind == timerDeadline || len(r.attempts) == 0:
-		b.rejectOrFail(r, now)
+	case kind == timerDeadline:
+		b.rejectOrFail(r, now, RejectedAtDeadline)
+	case len(r.attempts) == 0:
+		b.rejectOrFail(r, now, RejectedNoEndpoint)
 	case r.inFlight == 0: // a delayed retry
 		b.dispatch(r, now)
 	}
--- a/balance/tier_chain_test.go
+++ b/balance/tier_chain_test.go
@@ -48,8 +48,11 @@
 	classes         []Class
 	classShares     []float64 // of requests, by class
 	tryTimeoutShare float64   // timeout of a try, as a share of the deadline
+	patientShare    float64   // share of clients whose tries last for patientTimeoutShare of the deadline instead
 }
 
+const patientTimeoutShare = 0.6
+
 // node is a simulated server process.
 type node struct {
 	c           *tierChain
@@ -338,10 +341,14 @@
 	c.requests[startSecond]++
 	start := c.entry.now
 	honoursRetryAfter := c.entry.rng.Float64() < c.settings.retryAfterShare
+	tryTimeoutShare := c.settings.tryTimeoutShare
+	if c.settings.patientShare > 0 && c.entry.rng.Float64() < c.settings.patientShare {
+		tryTimeoutShare = patientTimeoutShare
+	}
 	var try func(left int)
 	try = func(left int) {
 		now := c.entry.now
-		budget := min(time.Duration(c.settings.tryTimeoutShare*float64(class.Deadline)), end-now)
+		budget := min(time.Duration(tryTimeoutShare*float64(class.Deadline)), end-now)
 		if budget <= 0 {
 			return
 		}
