upstream: a dial that had too little time does not blame a live endpoint

Callers saw: a request with a few milliseconds left that had to open a connection ended in a connect error when its time was over. The Balancer then opened no new connections to that endpoint for half a second or more, counted it as failing, and took it for a sign of overload.

Cause: the dial's deadline is the caller's, and its timeout was reported as ConnectError like that of an endpoint that does not accept.

Change: a dial that timed out within 100 ms, to an endpoint that responded or accepted a connection in the last 0.5 s, is reported as not sent. An endpoint that vanishes is blamed after 0.5 s.

Result: TestDialWithTooLittleTime covers this case and the three that still count; its first case failed before, as every dial timeout was a ConnectError. The tests of the package pass.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -222,6 +222,7 @@
 		return nil, false, balance.NotSent
 	}
 	dials.checkOthers(p, t)
+	dials.began = time.Now()
 	c, err := p.dial(ctx, t, deadline)
 	if err != nil {
 		if shouldRedial, result = dials.recordFailure(p, t, err, deadline); shouldRedial {
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -61,6 +61,11 @@
 	// transient.
 	transientRedials = 2
 
+	// minDialTime is the time in which a healthy endpoint accepts a connection. A dial with less
+	// says nothing about an endpoint that had contact within recentContact.
+	minDialTime   = 100 * time.Millisecond
+	recentContact = 500 * time.Millisecond
+
 	// sameCauseWindow is the time within which dial failures to two endpoints are attributed
 	// to the same cause.
 	sameCauseWindow = 200 * time.Millisecond
@@ -95,6 +100,7 @@
 
 // redial is the state of the repeated dials of one attempt.
 type redial struct {
+	began        time.Time // time of the current dial
 	firstFailure time.Time // time of the first failed dial
 	failures     int
 	delay        time.Duration // before the next dial
@@ -122,6 +128,9 @@
 	} else {
 		d.delay = min(2*d.delay, maxRedialDelay)
 	}
+	if p.hadTooLittleTime(t, err, d.began) {
+		return false, balance.NotSent
+	}
 	if result = p.classifyDialFailure(t, err, d); result == balance.OK {
 		if now.Add(d.delay).Before(d.redialUntil) {
 			return true, balance.OK
@@ -131,6 +140,18 @@
 	return false, result
 }
 
+// hadTooLittleTime reports whether a dial timed out only because its caller had too little time
+// left, so that the endpoint is not at fault.
+func (p *Pool) hadTooLittleTime(t *target, err error, began time.Time) bool {
+	var netErr net.Error
+	if !errors.As(err, &netErr) || !netErr.Timeout() || errors.Is(err, syscall.ETIMEDOUT) {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(began) < minDialTime && time.Since(t.contactAt) < recentContact
+}
+
 // classifyDialFailure returns balance.ConnectError if the endpoint is at fault, balance.NotSent if
 // the attempt must end without counting against the endpoint, and balance.OK if the dial should
 // be repeated. A local fault never counts against the endpoint.
@@ -198,5 +219,11 @@
 func (p *Pool) recordContact(t *target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.contacts.record(t, time.Now())
+	p.noteContact(t, time.Now())
+}
+
+// noteContact records that an endpoint has responded or accepted a connection. p.mu must be held.
+func (p *Pool) noteContact(t *target, now time.Time) {
+	t.contactAt = now
+	p.contacts.record(t, now)
 }
--- a/internal/upstream/dial_test.go
+++ b/internal/upstream/dial_test.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -90,3 +92,30 @@
 		t.Errorf("after redialUntil: redial %t, result %v, want NotSent", shouldRedial, result)
 	}
 }
+
+// A dial that timed out within minDialTime does not count against an endpoint that had contact
+// recently: its caller had too little time. All other failed dials count.
+func TestDialWithTooLittleTime(t *testing.T) {
+	timeout := &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+	for _, c := range []struct {
+		name         string
+		err          error
+		dialed       time.Duration // how long the dial took
+		sinceContact time.Duration
+		want         balance.Result
+	}{
+		{"little time, recent contact", timeout, minDialTime / 10, recentContact / 10, balance.NotSent},
+		{"little time, no recent contact", timeout, minDialTime / 10, 2 * recentContact, balance.ConnectError},
+		{"enough time", timeout, 2 * minDialTime, recentContact / 10, balance.ConnectError},
+		{"refused", syscall.ECONNREFUSED, minDialTime / 10, recentContact / 10, balance.ConnectError},
+	} {
+		p := New(Config{MaxConns: 8})
+		p.Set("tested", Target{Address: "127.0.0.1:1"})
+		now := time.Now()
+		p.noteContact(p.targets["tested"], now.Add(-c.sinceContact))
+		d := redial{began: now.Add(-c.dialed)}
+		if shouldRedial, result := d.recordFailure(p, p.targets["tested"], c.err, now); shouldRedial || result != c.want {
+			t.Errorf("%s: redial %t, result %v, want %v", c.name, shouldRedial, result, c.want)
+		}
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -109,6 +109,8 @@
 	open    int     // connections, including those being dialled
 	removed bool    // replaced or removed; its connections are not reused
 	usage   usage   // counted only if there is a reuse delay
+
+	contactAt time.Time // when it last responded or accepted a connection
 }
 
 // New returns an empty Pool.
@@ -379,7 +381,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	if responded {
-		p.contacts.record(c.target, now)
+		p.noteContact(c.target, now)
 	}
 	if c.target.removed || p.closed || p.open > p.cfg.MaxConns {
 		p.connClosedLocked(c.target)
