daemon: a drain responds to requests that are unfinished at its deadline

Callers saw: at the deadline of a drain of gorselink serve, connections whose request was still arriving, or open with a later deadline, were closed without a response.

Cause: Daemon.Drain called neither Server.StopReading nor Pool.Close, as Sidecar.shutdown does.

Evidence: TestDrainRespondsToUnfinishedRequests failed before the change for all four requests (partial head, body and chunk, and one at a node that hangs), three times of three.

Change: 50 ms before the deadline Drain stops reading and responds to all open requests.

Result: the test passes, three times in a row, as do the other drain tests.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -215,6 +215,9 @@
 		l.router.MarkDraining()
 		l.server.SetResponseDeadline(deadline.Add(-responseMargin))
 	}
+	// Requests that are still arriving then get an error response, and so do those whose
+	// deadline is later, as they were read before the response deadline was set.
+	defer time.AfterFunc(time.Until(deadline)-responseMargin, func() { d.endOpenRequests(listeners) }).Stop()
 	time.Sleep(min(notice, time.Until(deadline)))
 	var wg sync.WaitGroup
 	for _, l := range listeners {
@@ -225,6 +228,21 @@
 	d.Close()
 }
 
+// endOpenRequests ends the reading of requests and responds to all open ones at once.
+func (d *Daemon) endOpenRequests(listeners []*listener) {
+	for _, l := range listeners {
+		l.server.StopReading()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.pools {
+		p.pool.Close()
+	}
+	for _, p := range d.retired {
+		p.pool.Close()
+	}
+}
+
 // responseMargin is reserved for writing the last responses.
 const responseMargin = 50 * time.Millisecond
 
--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"time"
 
 	"gorselink/internal/fakeserver"
+	"gorselink/internal/socketstate"
 )
 
 // A node that discovery, a file or a reload removes or marks as draining receives no new
@@ -145,3 +147,39 @@
 		t.Errorf("%d runs, want 1", n)
 	}
 }
+
+// Requests that are still arriving, or open at a node that hangs, when a drain ends get a
+// response before the process exits.
+func TestDrainRespondsToUnfinishedRequests(t *testing.T) {
+	nodes := startNodes(t, "n", 1, fakeserver.NodeConfig{})
+	d := startDaemon(t, baseConfig, poolText("a", nodeList(nodes)), routeText("", "a"))
+	nodes[0].SetMode(fakeserver.ModeFreeze)
+	partial := []string{
+		"GET / HTTP/1.1\r\nHost: x\r\n",
+		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhalf",
+		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nhalf",
+	}
+	var conns []net.Conn
+	for _, text := range append(partial, "GET / HTTP/1.1\r\nHost: x\r\n\r\n") {
+		conn, err := net.Dial("tcp", d.publicAddr(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(testTimeout))
+		io.WriteString(conn, text)
+		conns = append(conns, conn)
+	}
+	eventually(t, "the complete request is at the node", func() bool { return nodes[0].OpenRequests() == 1 })
+	d.Drain(0, time.Now().Add(500*time.Millisecond))
+	for i, conn := range conns {
+		if !socketstate.HasPendingData(conn) { // must be sent before the exit
+			t.Errorf("request %d: no response before the end of the drain", i)
+			continue
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || resp.StatusCode < 400 {
+			t.Errorf("request %d: response %v, error %v, want an error response", i, resp, err)
+		}
+	}
+}
