upstream: data before the first request is not taken for its response

Callers could see a response that no request had caused, if an endpoint sent one on a new connection before it had received anything.

Cause: only reused connections were checked for stray data.

Change: right before the first request on a connection pending data ends the attempt as a connect error, nothing is sent, and the connection is closed.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -17,6 +17,7 @@
 	"gorselink/balance"
 	"gorselink/internal/bytebudget"
 	"gorselink/internal/http1"
+	"gorselink/internal/socketstate"
 )
 
 // Request is the request that an attempt sends to an endpoint.
@@ -122,6 +123,11 @@
 		p.checkInUnused(c)
 		return nil, balance.NotSent
 	}
+	if c.idleSince.IsZero() && c.peeker.State() == socketstate.DataPending {
+		call.unregister(attempt)
+		p.closeConn(c, true)
+		return nil, balance.ConnectError
+	}
 	if err := c.send(call, r); err != nil {
 		result := balance.NotSent
 		if !errors.Is(err, errBodyIncomplete) && classifyFault(err) != localFault {
--- a/internal/upstream/reuse_test.go
+++ b/internal/upstream/reuse_test.go
@@ -156,3 +156,38 @@
 		t.Errorf("%d connections, want 1", p.OpenConns())
 	}
 }
+
+// confirmFunc implements Confirmer.
+type confirmFunc func() bool
+
+func (f confirmFunc) Confirm() bool { return f() }
+
+// An endpoint sends a response on a new connection before it has received a request. It is not
+// taken for the response to the request, which is not sent.
+func TestDataBeforeFirstRequest(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	sent := make(chan struct{})
+	var requests atomic.Int64
+	go acceptConns(l, func(c net.Conn, _ int) {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
+		close(sent)
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			requests.Add(1)
+		}
+	})
+	p := New(Config{DialTimeout: testTimeout, IdleTimeout: testTimeout, MaxConns: 8})
+	defer p.Close()
+	p.Set("s-1", Target{Address: l.Addr().String()})
+	confirm := confirmFunc(func() bool { <-sent; return true }) // on loopback, the data has arrived then
+	resp, result := p.Do(new(Call), "s-1", &Request{Method: "GET", URI: "/", Host: "x"}, time.Now().Add(testTimeout), confirm)
+	if result != balance.ConnectError || resp != nil || requests.Load() != 0 {
+		t.Errorf("result %v, response %v, %d requests received, want ConnectError and nothing sent", result, resp, requests.Load())
+	}
+	if n := p.OpenConns(); n != 0 {
+		t.Errorf("%d connections open, want 0", n)
+	}
+}
