balance: list the retry tokens spent where nothing is sent again

Callers see: after a row of failed non-idempotent requests, a failed idempotent one is not retried.

Cause: Balancer.Outcome takes a token before dispatch, which may find that nothing may be sent.

TestRetryBudgetIsSpentOnlyOnRetries shows it: 51 attempts for 51 requests, 52 wanted.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -287,6 +287,23 @@
 	}
 }
 
+// Failed non-idempotent requests, which are not sent again, must not use up the retries of
+// idempotent ones.
+func TestRetryBudgetIsSpentOnlyOnRetries(t *testing.T) {
+	const idempotent, nonIdempotent = 0, 1
+	b, h := newTestBalancer(t, testConfig(), "a", "b", "c", "d")
+	for i := range RequestID(10 * minRetryBurst) {
+		b.Request(0, i, nonIdempotent, 0, time.Second)
+		b.Outcome(ms, i, 0, Reset, ms, false)
+	}
+	const last = 10 * minRetryBurst
+	b.Request(2*ms, last, idempotent, 0, time.Second)
+	b.Outcome(3*ms, last, 0, Reset, ms, false)
+	if n := len(h.sends); n != last+2 || h.sends[n-1].id != last {
+		t.Errorf("got %d attempts for %d requests, want a second one for the idempotent request", n, last+1)
+	}
+}
+
 // A delayed attempt may start if no other attempt of its request may have run, also for
 // a non-idempotent request. If Confirm counted the attempt itself, a request with a delayed
 // connection would be rejected without having been sent.
