experiment: a lost or doubled request is reported with its id, times and log lines

Need: TestCutLinkAffectsOneProcessOnly once reported one request without a response, and a result did not say which one, so that nothing could be traced.

Change: load.Completion has the X-Call-Id and the time of the send. For each request without a response, or with several, the result has id, stream, instance, outcome, times, arrivals at nodes, and the instance's log lines about it and around its end. A failed test prints them.

--- a/internal/experiment/record.go
+++ b/internal/experiment/record.go
@@ -20,6 +20,7 @@
 	EventErrors   []string // events that could not be performed
 	Crashes       []string // processes that exited unexpectedly
 	DrainFailures []string // processes that did not exit cleanly after SIGTERM
+	LostRequests  []LostRequest
 
 	experiment *Experiment
 	startedAt  time.Time
@@ -34,8 +35,9 @@
 }
 
 type arrival struct {
-	at   time.Duration
-	node int
+	at     time.Duration
+	node   int
+	callID string
 }
 
 // nodeSpan is a time span of a node.
@@ -66,7 +68,7 @@
 	if r.startedAt.IsZero() {
 		return
 	}
-	r.arrivals = append(r.arrivals, arrival{time.Since(r.startedAt), node})
+	r.arrivals = append(r.arrivals, arrival{time.Since(r.startedAt), node, req.Header.Get("X-Call-Id")})
 	if req.Method != http.MethodGet && req.Method != http.MethodHead && req.Header.Get("Idempotency-Key") == "" {
 		r.nonIdempotent[req.Header.Get("X-Call-Id")] = true
 	}
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -28,6 +28,7 @@
 	Crashes       []string       `json:"crashes,omitempty"`
 	DrainFailures []string       `json:"drains,omitempty"`
 	Failures      []Failure      `json:"failures,omitempty"` // the first maxFailures
+	LostRequests  []LostRequest  `json:"lost,omitempty"`
 	Seconds       []Second       `json:"seconds"`
 }
 
@@ -79,7 +80,7 @@
 
 // Result computes the result of a run.
 func (r *Record) Result(build string, turn int) *Result {
-	res := &Result{Experiment: r.experiment.Name, Build: build, Turn: turn, Seed: r.Seed, At: r.startedAt.UTC(), Outcomes: map[string]int{}, Void: r.Void, EventErrors: r.EventErrors, Crashes: r.Crashes, DrainFailures: r.DrainFailures}
+	res := &Result{Experiment: r.experiment.Name, Build: build, Turn: turn, Seed: r.Seed, At: r.startedAt.UTC(), Outcomes: map[string]int{}, Void: r.Void, EventErrors: r.EventErrors, Crashes: r.Crashes, DrainFailures: r.DrainFailures, LostRequests: r.LostRequests}
 	for _, w := range append(slices.Clone(r.experiment.Expectations), standingExpectations...) {
 		res.Figures = append(res.Figures, Figure{Name: w.String(), Value: finiteOrNil(r.Value(&w)), Min: finiteOrNil(w.Min), Max: finiteOrNil(w.Max)})
 	}
--- a/internal/experiment/testbed.go
+++ b/internal/experiment/testbed.go
@@ -372,7 +372,9 @@
 		return nil, err
 	}
 	r.record.Void = rep.Verdict.Void
-	return r.record.sortByTime(), nil
+	r.record.sortByTime()
+	r.record.LostRequests = r.traceLostRequests()
+	return r.record, nil
 }
 
 // runWithoutLoad performs the events without any requests.
--- a/internal/experiment/testbed_test.go
+++ b/internal/experiment/testbed_test.go
@@ -119,6 +119,9 @@
 	for _, x := range append(res.EventErrors, res.Crashes...) {
 		t.Error(x)
 	}
+	for i := range res.LostRequests {
+		t.Log(&res.LostRequests[i])
+	}
 }
 
 func TestSimultaneousStartSpreadsLoad(t *testing.T) {
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -53,6 +53,10 @@
 	Due     time.Duration
 	Ended   time.Duration
 	Outcome Outcome
+
+	// Of the last attempt; zero if none was sent.
+	CallID string
+	Sent   time.Duration
 }
 
 // Progress is the state of a running load test.
@@ -558,7 +562,7 @@
 	s.recordRequest(a.request.stream, a.request.due, at, o, a.delays)
 	r.ended.Add(1)
 	if r.cfg.OnCompletion != nil {
-		r.cfg.OnCompletion(Completion{Stream: a.request.stream, Index: a.request.index, Target: a.target, Due: a.request.due, Ended: at, Outcome: o})
+		r.cfg.OnCompletion(Completion{Stream: a.request.stream, Index: a.request.index, Target: a.target, Due: a.request.due, Ended: at, Outcome: o, CallID: a.id, Sent: a.started})
 	}
 }
 
--- a/internal/load/sender.go
+++ b/internal/load/sender.go
@@ -42,6 +42,9 @@
 	isRetry bool          // not the request's first attempt
 	retries int
 	delays  delays
+
+	id      string        // X-Call-Id, set when the attempt is sent
+	started time.Duration // when the attempt was sent
 }
 
 // delays are the delays of a request before it was sent, summed over its attempts.
@@ -101,6 +104,7 @@
 	a.delays.induced += start - a.sent
 	req := newRequest(stream, a.request.recorded, content)
 	req.id = id
+	a.id, a.started = id, start
 	deadline := noDeadline
 	if stream.Budget > 0 {
 		deadline = a.request.due + stream.Budget
