sidecar: tests listen on addresses that no outgoing connection can take meanwhile

Seen: TestConcurrentSignals/hup,_hup,_term,_hup and TestShutdownEndsBeforeKillWithLongDeadlines failed once each with "bind: address already in use" while other tests ran.

Cause: freeAddr took a port of 127.0.0.1 from the ephemeral range and gave it back before the sidecar listened on it. An outgoing connection of any process, whose source is 127.0.0.1, could take it.

--- a/internal/sidecar/age_test.go
+++ b/internal/sidecar/age_test.go
@@ -21,7 +21,7 @@
 	}
 	t.Cleanup(agent.Close)
 	path, temp := filepath.Join(t.TempDir(), "config.json"), t.TempDir()
-	writeFile(t, path, configJSON(freeAddr(t), agent.Addr()))
+	writeFile(t, path, configJSON(isolatedAddr(t), agent.Addr()))
 	old, _ := startInstance(t, path, temp)
 	agent.Update(entry("s-2", time.Now().Add(-clockLag)))
 	eventually(t, "the second endpoint is listed", func() bool { return old.pool.EverListed("s-2") })
--- a/internal/sidecar/descriptors_test.go
+++ b/internal/sidecar/descriptors_test.go
@@ -61,11 +61,11 @@
 	for _, mode := range []string{"push", "ask"} {
 		t.Run(mode, func(t *testing.T) {
 			one, two := newEndpointServer(t, "s-1"), newEndpointServer(t, "s-2")
-			d := &restartableDiscovery{addr: freeAddr(t), endpointAddrs: [2]string{serverAddr(one), serverAddr(two)}}
+			d := &restartableDiscovery{addr: isolatedAddr(t), endpointAddrs: [2]string{serverAddr(one), serverAddr(two)}}
 			d.start(t)
-			m := &fleetMember{listen: freeAddr(t), dir: t.TempDir()}
+			m := &fleetMember{listen: isolatedAddr(t), dir: t.TempDir()}
 			m.configPath = filepath.Join(m.dir, "config.json")
-			console := freeAddr(t)
+			console := isolatedAddr(t)
 			text := strings.Replace(configJSON(m.listen, d.addr), `"sockets":256`, fmt.Sprintf(`"sockets":%d`, sockets), 1)
 			text = strings.Replace(text, `"name":"n0"`, fmt.Sprintf(`"name":"n0","console":%q`, console), 1)
 			text = strings.Replace(text, `"RegistryMode":"push"`, `"RegistryMode":"`+mode+`"`, 1)
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -167,7 +167,7 @@
 	all := make([]*fleetMember, members)
 	var starting sync.WaitGroup
 	for i := range all {
-		m := &fleetMember{listen: freeAddr(t), dir: t.TempDir()}
+		m := &fleetMember{listen: isolatedAddr(t), dir: t.TempDir()}
 		m.configPath = filepath.Join(m.dir, "config.json")
 		text := configJSON(m.listen, serverAddr(discovery))
 		text = strings.Replace(text, `"Worth":1}`, `"Worth":1},{"Name":"pay","AimS":1,"DeadlineS":2,"Semantics":"single_shot","Worth":1}`, 1)
--- a/internal/sidecar/idle_timeout_test.go
+++ b/internal/sidecar/idle_timeout_test.go
@@ -21,7 +21,7 @@
 	}
 	t.Cleanup(node.Close)
 	discovery := newDiscoveryServer(t, "s-1", node.Addr())
-	listen, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	listen, path := isolatedAddr(t), filepath.Join(t.TempDir(), "config.json")
 	writeFile(t, path, configJSON(listen, serverAddr(discovery)))
 	p, _ := startInstance(t, path, "")
 	const burst = 20
--- a/internal/sidecar/memory_test.go
+++ b/internal/sidecar/memory_test.go
@@ -37,7 +37,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(agent.Close)
-	listen, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	listen, path := isolatedAddr(t), filepath.Join(t.TempDir(), "config.json")
 	// All endpoints are new to the process. With a slow-start window they would be
 	// cold, and some requests would not be served.
 	text := strings.Replace(configJSON(listen, agent.Addr()), `"RampTimeS":5`, `"RampTimeS":0`, 1)
--- a/internal/sidecar/operator_state_test.go
+++ b/internal/sidecar/operator_state_test.go
@@ -18,7 +18,7 @@
 	}
 	t.Cleanup(agent.Close)
 	path := filepath.Join(t.TempDir(), "config.json")
-	writeFile(t, path, configJSON(freeAddr(t), agent.Addr()))
+	writeFile(t, path, configJSON(isolatedAddr(t), agent.Addr()))
 	notDir := filepath.Join(t.TempDir(), "a file")
 	if err := os.WriteFile(notDir, nil, 0o600); err != nil {
 		t.Fatal(err)
--- a/internal/sidecar/pull_discovery_test.go
+++ b/internal/sidecar/pull_discovery_test.go
@@ -56,7 +56,7 @@
 func TestPullDiscoveryRequestsOnlyChanges(t *testing.T) {
 	one, two := newEndpointServer(t, "s-1"), newEndpointServer(t, "s-2")
 	first, second := newVersionedDiscovery(t, serverAddr(one), serverAddr(two)), newVersionedDiscovery(t, serverAddr(one), serverAddr(two))
-	path, listen := filepath.Join(t.TempDir(), "config.json"), freeAddr(t)
+	path, listen := filepath.Join(t.TempDir(), "config.json"), isolatedAddr(t)
 	config := func(discovery string) string {
 		s := strings.Replace(configJSON(listen, discovery), `"RegistryMode":"push"`, `"RegistryMode":"ask"`, 1)
 		s = strings.Replace(s, `"DrainGraceS":2`, `"DrainGraceS":2,"AskWithinS":10`, 1)
--- a/internal/sidecar/ready_test.go
+++ b/internal/sidecar/ready_test.go
@@ -15,7 +15,7 @@
 // while discovery is down, silent or slow, in push and pull mode.
 func TestReadyWithoutDiscovery(t *testing.T) {
 	for name, discovery := range map[string]func(t *testing.T) string{
-		"down": freeAddr,
+		"down": isolatedAddr,
 		"silent": func(t *testing.T) string {
 			l, err := net.Listen("tcp", "127.0.0.1:0") // the kernel completes connections; nothing reads them
 			if err != nil {
@@ -38,7 +38,7 @@
 		for _, mode := range []string{"ask", "push"} {
 			t.Run(name+", "+mode, func(t *testing.T) {
 				one := newEndpointServer(t, "s-1")
-				path, listen := filepath.Join(t.TempDir(), "config.json"), freeAddr(t)
+				path, listen := filepath.Join(t.TempDir(), "config.json"), isolatedAddr(t)
 				text := strings.Replace(configJSON(listen, discovery(t)), `"RegistryMode":"push"`, `"RegistryMode":"`+mode+`"`, 1)
 				text = strings.Replace(text, `"DrainGraceS":2`, `"DrainGraceS":2,"AskWithinS":10`, 1)
 				writeFile(t, path, strings.Replace(text, `"settings"`, fmt.Sprintf(`"known":{"index":41,"snapshot":true,"endpoints":[{"name":"s-1","address":%q,"zone":"a","group":0,"status":"in_service","since_ms":0}]},"settings"`, serverAddr(one)), 1))
--- a/internal/sidecar/short_deadline_test.go
+++ b/internal/sidecar/short_deadline_test.go
@@ -163,7 +163,7 @@
 		}
 	}))
 	defer node.Close()
-	m := &fleetMember{listen: freeAddr(t), dir: t.TempDir()}
+	m := &fleetMember{listen: isolatedAddr(t), dir: t.TempDir()}
 	m.configPath = filepath.Join(m.dir, "config.json")
 	text := withDeadline(configJSON(m.listen, serverAddr(newDiscoveryServer(t, "s-1", serverAddr(node)))), fmt.Sprint(deadline.Seconds()))
 	writeFile(t, m.configPath, strings.Replace(text, `"sockets":256`, `"sockets":4096`, 1))
--- a/internal/sidecar/shutdown_test.go
+++ b/internal/sidecar/shutdown_test.go
@@ -30,7 +30,7 @@
 	}))
 	t.Cleanup(node.Close)
 	t.Cleanup(cancel)
-	listen, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	listen, path := isolatedAddr(t), filepath.Join(t.TempDir(), "config.json")
 	text := strings.Replace(configJSON(listen, serverAddr(newDiscoveryServer(t, "s-1", serverAddr(node)))), `"DeadlineS":2,"Semantics":"free","Worth":1}`,
 		`"DeadlineS":18,"Semantics":"free","Worth":1},{"Name":"pay","AimS":1,"DeadlineS":18,"Semantics":"single_shot","Worth":1}`, 1)
 	writeFile(t, path, text)
@@ -110,7 +110,7 @@
 		io.WriteString(w, r.Header.Get("X-Call-Id"))
 	}))
 	t.Cleanup(node.Close)
-	listen, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	listen, path := isolatedAddr(t), filepath.Join(t.TempDir(), "config.json")
 	text := strings.Replace(configJSON(listen, serverAddr(newDiscoveryServer(t, "s-1", serverAddr(node)))), `"Worth":1}`,
 		`"Worth":1},{"Name":"pay","AimS":1,"DeadlineS":2,"Semantics":"single_shot","Worth":1}`, 1)
 	writeFile(t, path, text)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -155,17 +155,6 @@
 	return resp.StatusCode
 }
 
-// freeAddr returns a loopback address that is not in use.
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(testTimeout); !ok(); time.Sleep(5 * time.Millisecond) {
@@ -183,7 +172,7 @@
 func TestReload(t *testing.T) {
 	first, second := newEndpointServer(t, "first"), newEndpointServer(t, "second")
 	before, after := newDiscoveryServer(t, "s-1", serverAddr(first)), newDiscoveryServer(t, "s-2", serverAddr(second))
-	listen, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	listen, path := isolatedAddr(t), filepath.Join(t.TempDir(), "config.json")
 	writeFile(t, path, configJSON(listen, serverAddr(before)))
 	p, _ := startInstance(t, path, "")
 	expectBody := func(want string) {
@@ -207,7 +196,7 @@
 func TestDisabledEndpointStaysDisabledAcrossProcesses(t *testing.T) {
 	first := newEndpointServer(t, "first")
 	disc := newDiscoveryServer(t, "s-1", serverAddr(first))
-	listen, path, temp := freeAddr(t), filepath.Join(t.TempDir(), "config.json"), t.TempDir()
+	listen, path, temp := isolatedAddr(t), filepath.Join(t.TempDir(), "config.json"), t.TempDir()
 	writeFile(t, path, configJSON(listen, serverAddr(disc)))
 	old, console := startInstance(t, path, temp)
 	eventually(t, "a response", func() bool { return getWithNewID(listen) == "first" })
@@ -249,7 +238,7 @@
 // on kept and new connections.
 func TestUpgradeLosesNoRequests(t *testing.T) {
 	disc := newDiscoveryServer(t, "s-1", serverAddr(newEndpointServer(t, "first")))
-	listen, path, temp := freeAddr(t), filepath.Join(t.TempDir(), "config.json"), t.TempDir()
+	listen, path, temp := isolatedAddr(t), filepath.Join(t.TempDir(), "config.json"), t.TempDir()
 	writeFile(t, path, configJSON(listen, serverAddr(disc)))
 	p, _ := startInstance(t, path, temp)
 	done := make(chan struct{})
@@ -326,7 +315,7 @@
 // If a new process fails during the handover, the previous one continues to serve.
 func TestFailedUpgradeIsReverted(t *testing.T) {
 	disc := newDiscoveryServer(t, "s-1", serverAddr(newEndpointServer(t, "first")))
-	listen, path, temp := freeAddr(t), filepath.Join(t.TempDir(), "config.json"), t.TempDir()
+	listen, path, temp := isolatedAddr(t), filepath.Join(t.TempDir(), "config.json"), t.TempDir()
 	writeFile(t, path, configJSON(listen, serverAddr(disc)))
 	p, _ := startInstance(t, path, temp)
 	var inherited handoverState
@@ -353,7 +342,7 @@
 // requests. It can be reverted.
 func TestOperatorDrain(t *testing.T) {
 	disc := newDiscoveryServer(t, "s-1", serverAddr(newEndpointServer(t, "first")))
-	listen, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	listen, path := isolatedAddr(t), filepath.Join(t.TempDir(), "config.json")
 	writeFile(t, path, configJSON(listen, serverAddr(disc)))
 	p, console := startInstance(t, path, t.TempDir())
 	ready := func() int { return callStatus(listen, "GET", "/-/ready", "") }
@@ -403,7 +392,7 @@
 func TestConsoleRespondsDespiteSilentClients(t *testing.T) {
 	disc := newDiscoveryServer(t, "s-1", serverAddr(newEndpointServer(t, "first")))
 	path := filepath.Join(t.TempDir(), "config.json")
-	writeFile(t, path, configJSON(freeAddr(t), serverAddr(disc)))
+	writeFile(t, path, configJSON(isolatedAddr(t), serverAddr(disc)))
 	p, console := startInstance(t, path, "")
 	for i := range 60 {
 		c, err := net.Dial("tcp", console)
@@ -427,7 +416,7 @@
 // empty, truncated or invalid changes nothing.
 func TestReloadClasses(t *testing.T) {
 	disc := newDiscoveryServer(t, "s-1", serverAddr(newEndpointServer(t, "first")))
-	listen, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	listen, path := isolatedAddr(t), filepath.Join(t.TempDir(), "config.json")
 	text := configJSON(listen, serverAddr(disc))
 	writeFile(t, path, text)
 	p, _ := startInstance(t, path, "")
--- a/internal/sidecar/signals_test.go
+++ b/internal/sidecar/signals_test.go
@@ -28,7 +28,7 @@
 	}))
 	t.Cleanup(node.Close)
 	t.Cleanup(func() { close(release) })
-	listen, path = freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	listen, path = isolatedAddr(t), filepath.Join(t.TempDir(), "config.json")
 	writeFile(t, path, withDeadline(configJSON(listen, serverAddr(newDiscoveryServer(t, "s-1", serverAddr(node)))), deadline))
 	p, _ = startInstance(t, path, t.TempDir())
 	return p, listen, path
--- a/internal/sidecar/syscall_filter_test.go
+++ b/internal/sidecar/syscall_filter_test.go
@@ -98,7 +98,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			discovery := newDiscoveryServer(t, "s-1", c.address)
 			dir := t.TempDir()
-			listen, path := freeAddr(t), filepath.Join(dir, "config.json")
+			listen, path := isolatedAddr(t), filepath.Join(dir, "config.json")
 			writeFile(t, path, configJSON(listen, serverAddr(discovery)))
 			cmd := exec.Command(os.Args[0])
 			cmd.Env = append(os.Environ(), filteredChildEnv+"="+path, "TMPDIR="+dir)
--- a/internal/sidecar/takeover_test.go
+++ b/internal/sidecar/takeover_test.go
@@ -168,7 +168,7 @@
 // responses before the process exits, and non-idempotent ones run at most once and are not
 // rejected after they may have run.
 func TestRestartWhileEndpointsHang(t *testing.T) {
-	c := &loadClients{t: t, listen: freeAddr(t)}
+	c := &loadClients{t: t, listen: isolatedAddr(t)}
 	var hang atomic.Bool
 	var list []string
 	for i := range 4 {
@@ -218,7 +218,7 @@
 func TestTakeoverWithConcurrentEvents(t *testing.T) {
 	for _, name := range []string{"term after successor start", "hup to both, then term", "successor is killed", "old process is killed", "term, then successor is killed"} {
 		t.Run(name, func(t *testing.T) {
-			c := &loadClients{t: t, listen: freeAddr(t)}
+			c := &loadClients{t: t, listen: isolatedAddr(t)}
 			node := c.newNode(func() bool { return false })
 			disc := newDiscoveryServer(t, "s-1", serverAddr(node))
 			release := make(chan struct{})
@@ -323,7 +323,7 @@
 // its callers and responds to them.
 func TestTermBeforeSuccessorServes(t *testing.T) {
 	disc := newDiscoveryServer(t, "s-1", serverAddr(newEndpointServer(t, "first")))
-	listen, path, temp := freeAddr(t), filepath.Join(t.TempDir(), "config.json"), t.TempDir()
+	listen, path, temp := isolatedAddr(t), filepath.Join(t.TempDir(), "config.json"), t.TempDir()
 	writeFile(t, path, configJSON(listen, serverAddr(disc)))
 	p, _ := startInstance(t, path, temp)
 	conn, err := net.Dial("tcp", listen)
