upstream: Abort ends attempts that have a grace period since End

Callers saw nothing so far: no path of the program aborts a call that has ended. An attempt of such a call would have kept its connection, and the goroutine that waits for it, for up to 0.5 s.

Cause: End and Abort shared a method that returned at once for an ended call.

Evidence: TestAbortAfterEnd failed before the change, with 0.5 s left for the response after Abort.

Change: only a second End has no effect. Result: the tests of the package pass.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -38,17 +38,24 @@
 }
 
 // End ends the call. It does not wait for the attempts.
-func (c *Call) End() { c.end(endGracePeriod) }
-
-// Abort ends the call and all its attempts at once. It is used when the process exits.
-func (c *Call) Abort() { c.end(0) }
-
-func (c *Call) end(grace time.Duration) {
+func (c *Call) End() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended {
-		return
+	if !c.ended {
+		c.endAttempts(endGracePeriod)
 	}
+}
+
+// Abort ends the call and all its attempts at once, also those that have a grace period since
+// End. It is used when the process exits.
+func (c *Call) Abort() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endAttempts(0)
+}
+
+// endAttempts ends all attempts with a grace period. c.mu must be held.
+func (c *Call) endAttempts(grace time.Duration) {
 	c.ended = true
 	if c.first != (activeAttempt{}) {
 		c.first.end(grace)
