experiment: one function finds requests that ended twice

The result's measure twice and the report of lost requests each looked for them. No change of behaviour; the tests of the package's measures pass.

--- a/internal/experiment/lost.go
+++ b/internal/experiment/lost.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -39,17 +40,12 @@
 // traceLostRequests describes the requests without a response and those with several. It
 // reads the logs of their instances, which are removed at the end of the run.
 func (r *testbed) traceLostRequests() (lost []LostRequest) {
-	type request struct {
-		stream int
-		index  uint64
-	}
-	seen := map[request]bool{}
-	for _, e := range r.record.endings {
-		key := request{e.Stream, e.Index}
-		if (hasNoResponse(e.Outcome) || seen[key]) && len(lost) < maxLostRequests {
-			lost = append(lost, r.traceRequest(&e))
+	repeated := r.record.repeatedEndings()
+	for i := range r.record.endings {
+		e := &r.record.endings[i]
+		if (hasNoResponse(e.Outcome) || slices.Contains(repeated, i)) && len(lost) < maxLostRequests {
+			lost = append(lost, r.traceRequest(e))
 		}
-		seen[key] = true
 	}
 	return lost
 }
--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -224,18 +224,23 @@
 			n++
 		}
 	}
-	// A request that ends twice got more than one response.
+	return n + float64(len(c.record.repeatedEndings()))
+}
+
+// repeatedEndings returns the indices of the endings of requests that have ended before. Such a
+// request got more than one response.
+func (r *Record) repeatedEndings() (repeated []int) {
 	type request struct {
 		stream int
 		index  uint64
 	}
 	seen := map[request]bool{}
-	for _, e := range c.record.endings {
+	for i, e := range r.endings {
 		k := request{e.Stream, e.Index}
 		if seen[k] {
-			n++
+			repeated = append(repeated, i)
 		}
 		seen[k] = true
 	}
-	return n
+	return repeated
 }
