--- a/test.sh
+++ b/test.sh
@@ -30,9 +30,9 @@
 	case " $policy " in *" $f "*) ;; *) echo "$f is missing from policy in deploy/balancer.toml" >&2; exit 1 ;; esac
 done
 
-# Tests that measure latency or load distribution run alone, so that other tests do not
+# Tests that measure latency or load distribution, and the soak, run alone, so that other tests do not
 # affect their results. The other tests wait most of the time and run in parallel.
-alone='/internal/(load|experiment)$'
+alone='/internal/(load|experiment|soak)$'
 # A failed test that KNOWN-RED.txt does not list fails the run (scripts/verdict).
 others=$(go list ./... | grep -vE "$alone")
 selves=$(go list ./... | grep -E "$alone")
