--- a/internal/fakeserver/node.go
+++ b/internal/fakeserver/node.go
@@ -10,9 +10,11 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gorselink/internal/acceptloop"
@@ -88,13 +90,22 @@
 	maxOpenRequests int // maximum of openRequests
 }
 
-// StartNode starts a Node on a free port of 127.0.0.1.
+var lastNodeHost atomic.Uint32
+
+// nodeHost returns a loopback host that no other Node of this process uses, and no outgoing
+// connection as its source, so that nothing takes the port of a node that is down.
+func nodeHost() string {
+	n := lastNodeHost.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 128+os.Getpid()&63, n>>8&255, n&255)
+}
+
+// StartNode starts a Node on a free port of a loopback host of its own.
 func StartNode(cfg NodeConfig) (*Node, error) {
 	n := &Node{cfg: cfg, runsByID: map[string]int{}, conns: map[net.Conn]bool{}, changed: make(chan struct{})}
 	if cfg.Cores > 0 {
 		n.cores = make(chan struct{}, cfg.Cores)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort(nodeHost(), "0"))
 	if err != nil {
 		return nil, fmt.Errorf("start fake node %s: %w", cfg.Name, err)
 	}
