load: a late response is not a lost one

Callers saw a final response up to 0.1 s after their time, which the platform's rules allow (up to 0.5 s); the generator hung up at the end of the budget and reported timed_out, as for a request that is never answered. TestCutLinkAffectsOneProcessOnly failed so at times ("lost of one: 1").

Cause: a process that is not scheduled for over 20 ms at the time of its responses writes them after the budget.

The generator now reads for 0.5 s after the budget and reports a response in that time as late, which is neither served nor lost, and failed in experiments.

Found with it: reports of lost requests named no arrivals, as serve replaces X-Call-Id; experiments send X-Request-Id as well. A rejection written over 20 ms late is logged.

--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -42,6 +42,7 @@
 	"failed":  {atCallers, "requests without a response of a status below 400", func(c *selection) float64 { return c.count(func(o load.Outcome) bool { return o != load.OK }) }},
 	"refused": {atCallers, "requests with a response of status 429 or 503", func(c *selection) float64 { return c.count(func(o load.Outcome) bool { return o == load.Refused }) }},
 	"lost":    {atCallers, "requests without a response", func(c *selection) float64 { return c.count(hasNoResponse) }},
+	"late":    {atCallers, "requests with a response after their budget, which are not lost", func(c *selection) float64 { return c.count(func(o load.Outcome) bool { return o == load.Late }) }},
 	"tries":   {atAll, "requests at nodes per request of the callers", func(c *selection) float64 { return float64(len(c.arrivals())) / float64(len(c.endings())) }},
 	"twice":   {atAll, "non-idempotent requests executed more than once, and requests with two responses, in the whole run", (*selection).duplicateExecutions},
 	"crashes": {atAll, "processes that exited unexpectedly, in the whole run", func(c *selection) float64 { return float64(len(c.record.Crashes)) }},
--- a/internal/experiment/record.go
+++ b/internal/experiment/record.go
@@ -35,11 +35,15 @@
 }
 
 type arrival struct {
-	at     time.Duration
-	node   int
-	callID string
+	at        time.Duration
+	node      int
+	requestID string // value of requestIDHeader
 }
 
+// requestIDHeader carries the ID of a request from the generator to the node. An instance may
+// replace X-Call-Id.
+const requestIDHeader = "X-Request-Id"
+
 // nodeSpan is a time span of a node.
 type nodeSpan struct {
 	node     int
@@ -68,7 +72,7 @@
 	if r.startedAt.IsZero() {
 		return
 	}
-	r.arrivals = append(r.arrivals, arrival{time.Since(r.startedAt), node, req.Header.Get("X-Call-Id")})
+	r.arrivals = append(r.arrivals, arrival{time.Since(r.startedAt), node, req.Header.Get(requestIDHeader)})
 	if req.Method != http.MethodGet && req.Method != http.MethodHead && req.Header.Get("Idempotency-Key") == "" {
 		r.nonIdempotent[req.Header.Get("X-Call-Id")] = true
 	}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"sync"
@@ -419,3 +422,53 @@
 		}
 	}
 }
+
+// A response after the budget counts as late up to LateTolerance, and as none after it. Neither
+// counts as served, and both outcomes stay apart in merged results and in every form of the
+// report.
+func TestLateResponsesAreNotLost(t *testing.T) {
+	const budget, requests = 300 * ms, 20
+	serveAfter := func(delay time.Duration) string {
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(delay) }))
+		t.Cleanup(server.Close)
+		return server.Listener.Addr().String()
+	}
+	run := func(addr string) *Result {
+		s := testStream(t, "hold 100 200ms")
+		s.Budget = budget
+		return runLoad(t, testConfig(addr, s))
+	}
+	onTime, late, lost := run(serveAfter(0)), run(serveAfter(budget+100*ms)), run(serveAfter(budget+LateTolerance+200*ms))
+	if onTime.Outcomes[OK] != requests || late.Outcomes[Late] != requests || lost.Outcomes[TimedOut] != requests {
+		t.Fatalf("outcomes without delay %v, 0.1 s late %v, 0.7 s late %v, want %d ok, late and timed out", onTime.Outcomes, late.Outcomes, lost.Outcomes, requests)
+	}
+	onTime.Merge(late)
+	onTime.Merge(lost)
+	served := int64(0)
+	for i := range onTime.Seconds {
+		served += onTime.Seconds[i].Served
+	}
+	if served != requests {
+		t.Errorf("%d of %d requests count as served, want %d", served, onTime.Requests(), requests)
+	}
+	rep, err := onTime.Report()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text, page, encoded bytes.Buffer
+	if err := errors.Join(rep.WriteText(&text), rep.WriteHTML(&page), rep.WriteJSON(&encoded)); err != nil {
+		t.Fatal(err)
+	}
+	for form, got := range map[string]string{"text": text.String(), "HTML": page.String()} {
+		if want := "requests: ok 20 late 20 timed_out 20"; !strings.Contains(got, want) {
+			t.Errorf("%s report without %q:\n%s", form, want, got)
+		}
+	}
+	decoded, err := ReadReport(&encoded)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if decoded.Outcomes["late"] != requests || decoded.Outcomes["timed_out"] != requests {
+		t.Errorf("JSON report: outcomes %v, want %d late and %d timed out", decoded.Outcomes, requests, requests)
+	}
+}
--- a/internal/load/record.go
+++ b/internal/load/record.go
@@ -19,16 +19,21 @@
 	Failed                    // any other status 5xx
 	Broken                    // the connection broke, or the response was malformed
 	NoConn                    // no connection could be opened
-	TimedOut                  // no response within the budget
+	Late                      // a response came after the budget, at most LateTolerance later
+	TimedOut                  // no response within the budget and LateTolerance
 	LeftEarly                 // the simulated caller disconnected
 	Unanswered                // waiting, or not yet sent, at the end of the run
 	numOutcomes
 )
 
-var outcomeNames = [numOutcomes]string{"ok", "rejected", "refused", "failed", "broken", "no_conn", "timed_out", "left_early", "unanswered"}
+var outcomeNames = [numOutcomes]string{"ok", "rejected", "refused", "failed", "broken", "no_conn", "late", "timed_out", "left_early", "unanswered"}
 
 func (o Outcome) String() string { return outcomeNames[o] }
 
+// LateTolerance is how long after the budget of a request a response still counts as Late. The
+// rules of the platform allow a final response up to this long after a caller's time is over.
+const LateTolerance = 500 * time.Millisecond
+
 // Histograms hold microseconds, from 1 µs to 1 h, with three significant digits.
 // Values outside the range are clamped.
 const (
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -41,6 +41,7 @@
 	MaxOpen      int              // limit of open requests, including those that wait for a retry; 0 for 16 per connection
 	Span         time.Duration    // length of the plan; 0 if unknown
 	Grace        time.Duration    // how long to wait for responses after the last request was due
+	IDHeader     string           // a further field with the value of X-Call-Id, which proxies may replace; "" for none
 	OnProgress   func(Progress)   // called about once a second; may be nil
 	OnCompletion func(Completion) // called at the end of each request; may be nil. It must be safe for concurrent use and must not block
 }
@@ -132,6 +133,7 @@
 	path    string
 	key     string
 	id      string
+	idField string        // name of a further field for id; "" for none
 	budget  time.Duration // 0 for none
 	body    []byte
 	leaveAt time.Time // when the caller disconnects; zero for never
@@ -146,6 +148,12 @@
 	b = append(b, r.host...)
 	b = append(b, "\r\nX-Call-Id: "...)
 	b = append(b, r.id...)
+	if r.idField != "" {
+		b = append(b, "\r\n"...)
+		b = append(b, r.idField...)
+		b = append(b, ": "...)
+		b = append(b, r.id...)
+	}
 	if r.budget > 0 {
 		b = append(b, "\r\nX-Budget-Ms: "...)
 		b = strconv.AppendInt(b, max(1, r.budget.Milliseconds()), 10)
--- a/internal/load/sender.go
+++ b/internal/load/sender.go
@@ -103,7 +103,7 @@
 	a.delays.generator += start - a.sent
 	a.delays.induced += start - a.sent
 	req := newRequest(stream, a.request.recorded, content)
-	req.id = id
+	req.id, req.idField = id, r.cfg.IDHeader
 	a.id, a.started = id, start
 	deadline := noDeadline
 	if stream.Budget > 0 {
@@ -181,12 +181,19 @@
 	if !req.leaveAt.IsZero() && req.leaveAt.Before(deadline) {
 		until = req.leaveAt
 	}
-	s.conn.SetDeadline(until)
+	s.conn.SetWriteDeadline(until)
+	if until == deadline {
+		s.conn.SetReadDeadline(until.Add(LateTolerance))
+	} else {
+		s.conn.SetReadDeadline(until)
+	}
 	if ctx.Err() != nil { // the run ended meanwhile
 		s.conn.SetDeadline(time.Unix(1, 0))
 	}
 	status, retryAfter, err := s.exchange(req)
 	switch {
+	case err == nil && time.Now().After(deadline):
+		return Late, 0
 	case err == nil:
 		return outcomeOfStatus(status), retryAfter
 	case isTimeout(err):
--- a/internal/pool/abnormal_end.go
+++ b/internal/pool/abnormal_end.go
@@ -28,14 +28,19 @@
 	r.attemptRecords = append(r.attemptRecords, attemptRecord{a.endpoint, result, p.start.Add(a.sent).Sub(r.submittedAt), now - a.sent})
 }
 
+// lateRejectionThreshold is how long after the end of its budget a rejection is logged. Requests
+// that are rejected because their budget has ended exceed it by less.
+const lateRejectionThreshold = 20 * time.Millisecond
+
 // logAbnormalEnd logs a request that failed, was left by its caller, or got its response
-// after the end of its budget. Rejected requests can be repeated and are only counted in Report.
+// after the end of its budget. Requests that are rejected in time can be repeated and are only
+// counted in Report.
 // The id identifies the request in the caller's log. Endpoint and time identify its attempts in
 // the log of the endpoint's sidecar.
 func (p *Pool) logAbnormalEnd(r *Request) {
-	took, outcome := time.Since(r.submittedAt), r.outcome       // the outcome does not change after the response
-	late := outcome == Served && took > r.Budget && !r.detached // the duration of an upload depends on its caller
-	if outcome <= Rejected && !late {
+	took, outcome := time.Since(r.submittedAt), r.outcome // the outcome does not change after the response
+	late := outcome == Served && took > r.Budget || outcome == Rejected && took > r.Budget+lateRejectionThreshold
+	if outcome <= Rejected && (!late || r.detached) { // the duration of an upload depends on its caller
 		return
 	}
 	p.mu.Lock()
