httpserver: time in which a body is not read is not its caller's

Callers got 408, "the request body did not arrive in time", for bodies that they had sent at once, when there was no memory for the body and the request waited over 5 s for a connection; and attempts were begun for callers who had left seconds before.

Cause: such a body is read only by an attempt. Until then the caller's close stands behind the unread bytes, outside the receive window, and the minimum rate of the body counts the time in which the sidecar does not read.

A pause of the reader in which bytes have arrived no longer counts against the caller, and while a request waits, up to 256 KiB of its body are read ahead into the pool's memory for bodies, which makes room for the close.

--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -205,6 +205,7 @@
 
 // Read implements io.Reader.
 func (b *checkedBody) Read(p []byte) (int, error) {
+	b.conn.paced.stopReadAhead()
 	n, err := b.rest.Read(p)
 	if err != nil && err != io.EOF {
 		return n, err
@@ -213,7 +214,7 @@
 	switch {
 	case state == socketstate.Closed:
 		return 0, errCallerLeft
-	case b.rest.complete(err) && (state == socketstate.DataPending || b.conn.in.Buffered() > 0):
+	case b.rest.complete(err) && (state == socketstate.DataPending || b.conn.in.Buffered() > 0 || b.conn.paced.hasReadAhead()):
 		// Unexpected bytes may hide that the caller has closed its connection.
 		return 0, errUnexpectedBytes
 	}
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -400,6 +400,7 @@
 	responded := make(chan struct{})
 	stopWatching := sync.OnceFunc(func() { close(responded) })
 	defer stopWatching()
+	c.paced.startReadAhead(&readAheadBuffer{longBudget: p.Pool.LongBodyBudget(), shortBudget: p.Pool.BodyBudget()})
 	go c.watchUpload(p.Pool, r, responded)
 	p.Pool.RunFirstAttempt(r)
 	a := <-r.Response()
@@ -472,11 +473,30 @@
 	case socketstate.Closed:
 		return true
 	case socketstate.DataPending:
-		return !c.streamsBody && c.leftAfterEarlyBytes()
+		if c.streamsBody {
+			return c.leftBehindBody()
+		}
+		return c.leftAfterEarlyBytes()
 	}
 	return false
 }
 
+// leftBehindBody reports whether the caller of a streamed request has disconnected behind the
+// part of the body that has arrived. A close behind more bytes than the receive buffer and
+// maxReadAheadBytes hold is not visible.
+func (c *callerConn) leftBehindBody() bool {
+	for range maxReadAheadBytes / closeVisibleBytes {
+		if c.paced.readAhead() < closeVisibleBytes {
+			break
+		}
+		if c.peer.State() == socketstate.Closed {
+			return true
+		}
+		time.Sleep(discardPause) // for input that now fits the receive buffer
+	}
+	return c.peer.State() == socketstate.Closed
+}
+
 const (
 	// closeVisibleBytes is a number of unread bytes that leaves room in the receive
 	// buffer for a close behind them.
@@ -532,7 +552,8 @@
 const uploadPollInterval = 25 * time.Millisecond
 
 // watchUpload cancels a streamed request if its caller disconnects before the
-// response. It polls the socket, because only an attempt may read from it.
+// response. It polls the socket, because only an attempt may wait for input. Until one does,
+// the body is read ahead, which makes a close behind it visible.
 func (c *callerConn) watchUpload(p *pool.Pool, r *pool.Request, responded <-chan struct{}) {
 	tick := time.NewTicker(uploadPollInterval)
 	defer tick.Stop()
@@ -542,6 +563,7 @@
 			return
 		case <-tick.C:
 		}
+		c.paced.readAhead()
 		if c.peer.State() == socketstate.Closed {
 			r.Outgoing.Upload.Abort()
 			p.Cancel(r)
@@ -553,7 +575,7 @@
 // bodyEndPending reports whether the end of the body is known not to have arrived. That is
 // so if there is no unread input, which could include the end.
 func (c *callerConn) bodyEndPending() bool {
-	return c.in.Buffered() == 0 && !socketstate.HasPendingData(c.conn)
+	return c.in.Buffered() == 0 && !c.paced.hasReadAhead() && !socketstate.HasPendingData(c.conn)
 }
 
 // maxReroutes bounds how often a request is routed again because its pool was replaced
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -338,6 +338,7 @@
 func (c *callerConn) close() {
 	s := c.server
 	c.conn.Close()
+	c.paced.endBody()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.clearCloseRequest()
--- a/internal/httpserver/withdraw_test.go
+++ b/internal/httpserver/withdraw_test.go
@@ -23,6 +23,7 @@
 	addr         string
 	mu           sync.Mutex
 	counts       map[string]int
+	heads        map[string]int       // requests of which the head has arrived, by id
 	lastArrivals map[string]time.Time // time of the last complete request by id
 }
 
@@ -33,6 +34,13 @@
 	return rec.lastArrivals[id]
 }
 
+// headCount returns the number of requests with this id of which the head has arrived.
+func (rec *recorder) headCount(id string) int {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	return rec.heads[id]
+}
+
 // count returns the number of complete requests with this id.
 func (rec *recorder) count(id string) int {
 	rec.mu.Lock()
@@ -42,8 +50,11 @@
 
 // newRecorder starts a recorder that listens on l, or on a free port if l is nil.
 func newRecorder(t *testing.T, l net.Listener) *recorder {
-	rec := &recorder{counts: map[string]int{}, lastArrivals: map[string]time.Time{}}
+	rec := &recorder{counts: map[string]int{}, heads: map[string]int{}, lastArrivals: map[string]time.Time{}}
 	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		rec.mu.Lock()
+		rec.heads[r.Header.Get("X-Call-Id")]++
+		rec.mu.Unlock()
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return // the body is incomplete
 		}
@@ -153,24 +164,46 @@
 		}
 		return d
 	}
+	resumed := func(newHarness func(t *testing.T) *disconnectHarness) func(t *testing.T) *disconnectHarness {
+		return func(t *testing.T) *disconnectHarness {
+			d := newHarness(t)
+			d.handleConn = func(c net.Conn) { d.server.Resume(c, nil) }
+			return d
+		}
+	}
+	withoutMemory := func(t *testing.T) *disconnectHarness { return dialing(t, 1) }
+	lengthBody := func(size int) func(id string, _ int) string {
+		return func(id string, _ int) string {
+			return fmt.Sprintf("POST /pay HTTP/1.1\r\nHost: x\r\nX-Call-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, size, strings.Repeat("b", size))
+		}
+	}
+	chunkedBody := func(size int) func(id string, _ int) string {
+		return func(id string, _ int) string {
+			return fmt.Sprintf("POST /pay HTTP/1.1\r\nHost: x\r\nX-Call-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", id, size, strings.Repeat("b", size))
+		}
+	}
+	const fewCallers = 8 // for whose bodies there is memory to read ahead
 	cases := map[string]struct {
 		newHarness func(t *testing.T) *disconnectHarness
 		text       func(id string, i int) string
 		earlyBytes bool // some callers send early bytes before they disconnect
 		maxStaying int  // callers that stay connected; 0 for no limit
+		endHidden  bool // the end may be behind more bytes than can be read ahead
 	}{
-		"queued": {queued, mixedRequest, true, 0},
-		"queued on a connection that was handed over": {func(t *testing.T) *disconnectHarness {
-			d := queued(t)
-			d.handleConn = func(c net.Conn) { d.server.Resume(c, nil) }
-			return d
-		}, mixedRequest, true, 0},
-		"dialing": {func(t *testing.T) *disconnectHarness { return dialing(t, 8<<20) }, mixedRequest, true, 0},
+		"queued": {queued, mixedRequest, true, 0, false},
+		"queued on a connection that was handed over": {resumed(queued), mixedRequest, true, 0, false},
+		"dialing": {func(t *testing.T) *disconnectHarness { return dialing(t, 8<<20) }, mixedRequest, true, 0, false},
 		"long body, dialing": {func(t *testing.T) *disconnectHarness { return dialing(t, 1) }, func(id string, _ int) string {
 			return "POST /pay HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("b", 100000)
-		}, false, 0},
-		"first attempt hangs": {func(t *testing.T) *disconnectHarness { return brokenAttemptHarness(t, "") }, idempotentRequest, true, maxRetried},
-		"incomplete response": {func(t *testing.T) *disconnectHarness { return brokenAttemptHarness(t, "HTTP/1.1 200 OK\r\nContent-Le") }, idempotentRequest, true, maxRetried},
+		}, false, 0, false},
+		"body of 200,000 bytes, dialing":               {withoutMemory, lengthBody(200_000), false, fewCallers, false},
+		"body of 200,000 bytes, dialing, many callers": {withoutMemory, lengthBody(200_000), false, 0, true},
+		"body of 200,000 bytes, dialing, handed over":  {resumed(withoutMemory), lengthBody(200_000), false, fewCallers, false},
+		"chunked body of 200,000 bytes, dialing":       {withoutMemory, chunkedBody(200_000), false, fewCallers, false},
+		"body of 2,000,000 bytes, dialing":             {withoutMemory, lengthBody(2_000_000), false, 0, true},
+		"chunked body of 2,000,000 bytes, dialing":     {withoutMemory, chunkedBody(2_000_000), false, 0, true},
+		"first attempt hangs":                          {func(t *testing.T) *disconnectHarness { return brokenAttemptHarness(t, "") }, idempotentRequest, true, maxRetried, false},
+		"incomplete response":                          {func(t *testing.T) *disconnectHarness { return brokenAttemptHarness(t, "HTTP/1.1 200 OK\r\nContent-Le") }, idempotentRequest, true, maxRetried, false},
 	}
 	for name, c := range cases {
 		for _, disconnect := range []bool{true, false} {
@@ -233,6 +266,15 @@
 				if forwarded > 0 {
 					t.Errorf("%d of %d requests were forwarded %v after their callers disconnected, want 0", forwarded, len(leaving), elapsed)
 				}
+				begun := 0
+				for _, conn := range leaving {
+					begun += d.recorder.headCount(d.ids[conn])
+				}
+				if begun > 0 && !c.endHidden {
+					t.Errorf("attempts were begun for %d of %d callers that had disconnected, want none", begun, len(leaving))
+				} else if begun > 0 {
+					t.Logf("attempts were begun for %d of %d callers that had disconnected", begun, len(leaving))
+				}
 				if elapsed > 400*time.Millisecond {
 					t.Logf("it took %v until all disconnects were noticed", elapsed)
 				}
--- a/internal/socketstate/poller.go
+++ b/internal/socketstate/poller.go
@@ -57,6 +57,21 @@
 	return p.state
 }
 
+// ReadAvailable reads unread data of c into b without waiting and returns the number of bytes. It
+// ignores the read deadline.
+func ReadAvailable(c net.Conn, b []byte) (n int) {
+	withFD(c, func(fd int) {
+		var err error
+		for {
+			if n, _, err = syscall.Recvfrom(fd, b, syscall.MSG_DONTWAIT); err != syscall.EINTR {
+				break
+			}
+		}
+		n = max(n, 0) // -1 after an error
+	})
+	return n
+}
+
 // maxDiscardReads bounds the reads of one Discard call, because the peer may keep sending.
 const maxDiscardReads = 32
 
