httpserver: the body of a rejected request is not read as the next request

After a 503 to a request whose body has no memory, the connection stayed open and the bytes of the body that were still to come were read as the next request. Nothing was seen by callers so far; a body whose content looks like a request would have been forwarded.

Cause: the response to a request that no pool takes (full or replaced between the first look and Submit) was written like one to a request that has been read whole. Evidence: TestUnreadBodyIsNoRequest got status 200 for bytes of the body; now the response announces the close and the body is discarded, as for other requests that are not read further.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -362,6 +362,11 @@
 	if failure != nil {
 		c.setDiscardInput(false)
 		b.release()
+		if c.streamsBody { // its body is still to come
+			c.paced.endBody()
+			c.rejectWith(*failure)
+			return false, false
+		}
 		return false, c.respond(req, *failure, true)
 	}
 	defer p.Pool.Done(r)
--- a/internal/httpserver/stream_test.go
+++ b/internal/httpserver/stream_test.go
@@ -279,6 +279,24 @@
 	}
 }
 
+// The body of a request that no pool takes is not read as the next request on the connection.
+func TestUnreadBodyIsNoRequest(t *testing.T) {
+	r := streamHarnessWithLongBudget(t, 0, 100<<10, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
+	r.Retire() // a pool that has been replaced takes no new requests
+	c := r.dial(t)
+	in := bufio.NewReader(c)
+	io.WriteString(c, payRequest("Content-Length: 900000\r\n\r\n"))
+	if status, _, err := readResponse(in); status != 503 || err != nil {
+		t.Fatalf("status %d, error %v, want 503", status, err)
+	}
+	r.Reactivate()
+	io.WriteString(c, viewRequest(""))
+	c.SetReadDeadline(time.Now().Add(testTimeout))
+	if status, body, err := readResponse(in); err == nil {
+		t.Errorf("a response of status %d, %q, to bytes of the body, want none", status, body)
+	}
+}
+
 // A streamed body that stalls or is invalid gets an error response, and the endpoint does not
 // receive it in full. An endpoint that rejects the request early causes a 503 response.
 func TestBrokenUploads(t *testing.T) {
