Comments: reasons and numbers that the rewording dropped, no code

Put back, where it is still true: why the retry budget is small, the share of calls that take under half of the mean, the cost of a new connection and the idle timeout without prices, what else a stale connection may mean, how a request waits for a connection that may not be reused yet, what redials take, why responses are buffered whole and what the stall timeout misjudges, the room for bodies at 32 MB, and what the discarding of early input bounds. Only comments differ; the packages build.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -473,6 +473,7 @@
 }
 
 // The retry budget grows with the served requests, so that retries cannot sustain an overload.
+// It is small, so that a fleet has not saved up a burst of retries when an overload begins.
 const (
 	retriesPerServed  = 0.2                    // retries added per served request
 	retryBurstWindow  = 200 * time.Millisecond // a full budget has as many retries as requests are served in this time
@@ -484,7 +485,8 @@
 func (b *Balancer) dispatch(r *request, now time.Duration) {
 	switch i := b.pick(r, now); {
 	case i >= 0:
-		// Reject if less than half of the expected duration is left: few calls are that fast.
+		// Reject if less than half of the expected duration is left. Over a third of all calls
+		// take less than half of the endpoint's mean; with less time than that few succeed.
 		if b.endpoints[i].mean(now)*b.durationRatio(r.class)/2 <= (r.deadline-now).Seconds() || !b.reject(r, now, RejectedForTime) {
 			b.send(r, i, now)
 		}
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -446,7 +446,8 @@
 const (
 	// Input that arrives before the response is discarded at full speed up to
 	// discardBurst bytes; from then on a discardPause follows every discardStep bytes.
-	// This bounds the processor time that a flooding caller costs.
+	// This bounds the processor time that a flooding caller costs to some per cent of a core. A
+	// caller that has filled the buffers of its connection and disconnected is noticed at once.
 	discardBurst = 1 << 20
 	discardStep  = 64 << 10
 	discardPause = time.Millisecond
@@ -507,7 +508,7 @@
 	// buffer for a close behind them.
 	closeVisibleBytes = 4 << 10
 	// maxDiscardRounds bounds how often early input is discarded before a caller that
-	// keeps sending counts as disconnected.
+	// keeps sending counts as disconnected, which takes half a second or more.
 	maxDiscardRounds = 500
 )
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -37,7 +37,8 @@
 	// The memory limit divided by longBodyDivisor bounds the request bodies over 64 KiB.
 	longBodyDivisor = 8
 	// The memory limit divided by bodyDivisor bounds all other request bodies. The rest of the
-	// limit is for headers, responses, stacks and garbage.
+	// limit is for headers, responses, stacks and garbage. With a limit of 32 MB there is room
+	// for 64 of the longest of these bodies.
 	bodyDivisor = 8
 
 	// connReuseDelay is how long an endpoint connection stays unused after a response, so that an
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -69,10 +69,13 @@
 const (
 	// defaultMaxResponseBytes is above the platform protocol's limit (SmallResponseBytes). If a
 	// response has outgrown that limit, all endpoints return the same long response, so treating
-	// it as an error would only cause retries.
+	// it as an error would only cause retries. A response is buffered whole, so that one that
+	// breaks off is a failed attempt and not half a response to the caller.
 	defaultMaxResponseBytes = 1 << 20
 
-	// defaultStallTimeout bounds a pause inside a response that has started.
+	// defaultStallTimeout bounds a pause inside a response that has started, because waiting for
+	// the rest delays a retry. An endpoint that freezes for longer in the middle of a response is
+	// misjudged as failing.
 	defaultStallTimeout = 500 * time.Millisecond
 
 	// maxInterimResponses bounds the interim (1xx) responses before the final one.
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -58,7 +58,7 @@
 	minRedialDelay, maxRedialDelay = 5 * time.Millisecond, 100 * time.Millisecond
 
 	// transientRedials is the number of redials after which a failure is no longer assumed to be
-	// transient.
+	// transient. They take 15 ms, less than a retry at another endpoint may cost.
 	transientRedials = 2
 
 	// minDialTime is the time in which a healthy endpoint accepts a connection. A dial with less
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -27,7 +27,9 @@
 	// ReuseDelay is the time between a response and the next request on the same connection; 0
 	// for none. An endpoint may send a duplicate response some milliseconds late, which would
 	// be taken for the response to the next request. The delay is longer for some time after
-	// stray data has been received.
+	// stray data has been received. A request waits for the connection that becomes reusable
+	// first, which costs less than a new one; if another one would be in use all the time, it is
+	// dialed meanwhile.
 	ReuseDelay time.Duration
 
 	MaxResponseBytes     int           // longest buffered body; 0 for 1 MiB
@@ -48,18 +50,21 @@
 
 // Costs at an endpoint, in core-seconds.
 const (
-	handshakeCost = 0.0024 // of a new connection
+	handshakeCost = 0.0024 // of a new connection, which costs 0.0018 to 0.003
 	openConnCost  = 0.0096 // of an open connection, per second
 	requestCost   = 0.017  // of a request's first attempt
 	typicalLoad   = 0.5    // share of an endpoint's capacity used by first attempts
 
-	// Bounds of the idle timeout, in seconds.
+	// Bounds of the idle timeout, in seconds: a connection that is idle between a response and
+	// the next request of a burst is kept, whatever the prices, and none is kept forever.
 	minIdleSeconds, maxIdleSeconds = 0.01, 3600.0
 )
 
 // OptimalIdleTimeout returns the time for which a sidecar keeps an idle connection. The prices
 // are weights that operators set: handshakePrice for the number of new connections per first
 // attempt, and connectionPrice for the mean number of open connections per hundred endpoints.
+// Without prices it is 0.25 s. A price is converted to work by requestCost; an open connection
+// per hundred endpoints counts as a hundredth of what an endpoint serves.
 //
 // A connection is kept until its idle cost equals the cost of a new one. The total cost is then
 // at most twice that of an optimal choice that knows the time of the next use (ski-rental
@@ -285,7 +290,10 @@
 
 // noteStaleConn records that a reused connection broke before any byte of the response. If it
 // had been idle for maxTrustedIdle, the endpoint or a network device had probably closed it.
-// Non-idempotent requests then avoid idle connections for stalePeriod.
+// Non-idempotent requests then avoid idle connections for stalePeriod. This also covers idle
+// timeouts of endpoints that are shorter than configured, and processes that are replaced at the
+// same address. If the connection broke for another reason, it costs these requests a new
+// connection each.
 func (p *Pool) noteStaleConn(c *conn, sentAt time.Time) {
 	if c.idleSince.IsZero() || sentAt.Sub(c.idleSince) < maxTrustedIdle {
 		return
