httpserver: a drain whose deadline was missed by a pause still writes the responses

Callers lost requests that had been forwarded when a sidecar was not scheduled from SIGTERM until the end of its drain and then ran again: their connections closed without a response.

Cause: all timers are due at once then, and the main goroutine ended the drain and the process before the connections wrote their responses.

--- a/internal/httpserver/concurrency_test.go
+++ b/internal/httpserver/concurrency_test.go
@@ -195,6 +195,28 @@
 	}
 }
 
+// The process was not scheduled at the deadline of a drain. The response to an open request is
+// still written, and a drain that ends in time does not wait for it.
+func TestDrainAfterMissedDeadline(t *testing.T) {
+	for name, missedBy := range map[string]time.Duration{"in time": 0, "late": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			r := newHarness(t, 4, release)
+			c := r.dial(t)
+			io.WriteString(c, viewRequest(""))
+			eventually(t, "the endpoint has the request", func() bool { return r.requests.Load() == 1 })
+			time.AfterFunc(missedDeadlinePeriod/10, func() { close(release) })
+			r.server.Drain(time.Now().Add(-missedBy))
+			if n := r.server.OpenConns(); (n == 0) != (missedBy > 0) {
+				t.Errorf("%d connections are open after Drain", n)
+			}
+			if status, _, err := readResponse(bufio.NewReader(c)); status != 200 {
+				t.Errorf("status %d, error %v, want 200", status, err)
+			}
+		})
+	}
+}
+
 // The process that takes over the connections dies during the handover. Idle connections then
 // close here, well before their idle timeout.
 func TestDrainAfterFailedHandover(t *testing.T) {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -163,9 +163,21 @@
 	}
 }
 
+const (
+	// missedDeadlineThreshold is how late the end of a drain is noticed if the process was not
+	// scheduled at its deadline. It is no less than the time that programs keep between the
+	// deadline and the time at which they may be killed.
+	missedDeadlineThreshold = 20 * time.Millisecond
+	// missedDeadlinePeriod is how long connections are then still drained.
+	missedDeadlinePeriod = 200 * time.Millisecond
+)
+
 // Drain closes connections once no request is open on them, and waits until none is left
 // or the deadline has passed. New connections are still served; call Drain again after
 // the listener is closed to wait for the last of them.
+//
+// If the process was not scheduled at the deadline, the responses that were due before it are
+// not written yet. Drain then waits for missedDeadlinePeriod more.
 func (s *Server) Drain(deadline time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -174,7 +186,7 @@
 	s.wake(stateIdle)
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
-	for s.openConns > 0 {
+	for extended := false; s.openConns > 0; {
 		s.mu.Unlock()
 		timedOut := false
 		select {
@@ -183,7 +195,11 @@
 			timedOut = true
 		}
 		s.mu.Lock()
-		if timedOut {
+		switch {
+		case timedOut && !extended && time.Since(deadline) > missedDeadlineThreshold:
+			extended = true
+			timer.Reset(missedDeadlinePeriod)
+		case timedOut:
 			return
 		}
 	}
