httpserver: log how many caller connections are closed to make room

No line told why a new connection was closed before its first request, so that a soak could not tell a fault from the limit. Once a second the number of connections closed or rejected and the limit are logged, if there are any.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -147,6 +147,9 @@
 			for _, name := range slices.Sorted(maps.Keys(d.pools)) {
 				d.pools[name].pool.Report(now)
 			}
+			for _, name := range slices.Sorted(maps.Keys(d.listeners)) {
+				d.listeners[name].server.Report()
+			}
 			d.closeDrained(now)
 			d.distributeConns()
 			d.mu.Unlock()
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -29,6 +29,8 @@
 	mu               sync.Mutex
 	maxConns         int
 	openConns        int
+	closedForRoom    int                                      // connections asked to close to make room, since the last Report
+	rejectedForRoom  int                                      // new connections rejected for want of room, since the last Report
 	conns            [stateCount]linkedlist.List[*callerConn] // by state, the longest in that state first
 	draining         bool                                     // connections close once no request is open on them
 	closeIdle        bool                                     // connections that have served a request close when idle
@@ -99,11 +101,13 @@
 	for s.openConns >= s.maxConns {
 		candidate := s.evictionCandidate()
 		if candidate == nil {
+			s.rejectedForRoom++
 			s.mu.Unlock()
 			rejectConn(nc, ahead)
 			s.mu.Lock()
 			return nil
 		}
+		s.closedForRoom++
 		handled := candidate.requestClose()
 		s.mu.Unlock()
 		select {
@@ -118,6 +122,18 @@
 	return c
 }
 
+// Report logs how many connections were closed or rejected because of the maximum since the
+// last call, if any were. Call it about once a second.
+func (s *Server) Report() {
+	s.mu.Lock()
+	closed, rejected, maxConns := s.closedForRoom, s.rejectedForRoom, s.maxConns
+	s.closedForRoom, s.rejectedForRoom = 0, 0
+	s.mu.Unlock()
+	if closed > 0 || rejected > 0 {
+		slog.Info("too many caller connections; closing those without a request", "closed", closed, "rejected", rejected, "limit", maxConns)
+	}
+}
+
 // evictionCandidate returns the connection to close next to make room, or nil; s.mu must
 // be held. It skips a connection that waits for a request and has unread input, which
 // may be one.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -344,7 +344,7 @@
 	}
 }
 
-// reportStats logs the pool's statistics once a second while there is activity, until ctx is done.
+// reportStats logs the statistics of the pool and of the callers' connections once a second while there is activity, until ctx is done.
 func (s *Sidecar) reportStats(ctx context.Context) {
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
@@ -354,6 +354,7 @@
 			return
 		case now := <-tick.C:
 			s.pool.Report(now)
+			s.server.Report()
 		}
 	}
 }
