balance: a retry token is taken once an attempt has been sent

Idempotent requests failed although another endpoint would have served them, while non-idempotent ones failed beside them: a token was taken from the retry budget also where no attempt followed.

All tests of balance pass.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -481,14 +481,15 @@
 	initialRetryDelay = 10 * time.Millisecond  // when the retry budget is used up and no endpoint was reached; doubled per attempt
 )
 
-// dispatch sends the next attempt of r, or holds r until an endpoint is ready.
-func (b *Balancer) dispatch(r *request, now time.Duration) {
+// dispatch sends the next attempt of r, or holds r until an endpoint is ready. It reports
+// whether it has sent one.
+func (b *Balancer) dispatch(r *request, now time.Duration) (sent bool) {
 	switch i := b.pick(r, now); {
 	case i >= 0:
 		// Reject if less than half of the expected duration is left. Over a third of all calls
 		// take less than half of the endpoint's mean; with less time than that few succeed.
 		if b.endpoints[i].mean(now)*b.durationRatio(r.class)/2 <= (r.deadline-now).Seconds() || !b.reject(r, now, RejectedForTime) {
-			b.send(r, i, now)
+			sent = b.send(r, i, now)
 		}
 	case r.inFlight > 0:
 	case len(r.attempts) > 0:
@@ -500,6 +501,7 @@
 		b.held = append(b.held, r.id)
 		b.setTimer(r, (r.deadline-now)/2, timerHeld)
 	}
+	return sent
 }
 
 // setTimer schedules a timer of the given kind for r.
@@ -644,8 +646,9 @@
 	case final || r.closed:
 		b.closeRequest(r)
 	case now < r.deadline && b.retryTokens >= 1:
-		b.retryTokens--
-		b.dispatch(r, now)
+		if b.dispatch(r, now) { // a request that may not be repeated takes no token from the others
+			b.retryTokens--
+		}
 	case r.inFlight > 0:
 	case now >= r.deadline:
 		b.fail(r)
