soak: clients that leave, pauses of the sidecar, cut responses, long bodies, outages

Plans now have, from a random source of their own: clients that leave by close, reset or half-close, in the head, in the body or after the request; bodies of 60,000 to 2,000,000 bytes; SIGSTOP of all processes of the sidecar for 30 ms to 2 s, also between SIGTERM and SIGKILL; endpoints that cut, trickle or delay responses; outages of all endpoints, by refusal or by hanging.

Judged by the endpoints' records: a request that arrives although its client left before it was whole, and from the third of a run on one that arrives over 0.1 s after its client left, paused or not. A pause is added to what the other rules allow, and counted.

--- a/internal/fakeserver/node.go
+++ b/internal/fakeserver/node.go
@@ -31,11 +31,15 @@
 	ModeMalformed       // runs each request and sends bytes that are not HTTP
 	ModeReset           // runs each request and resets the connection
 	ModeReject          // responds with status 503 and X-Rejected, without running the request
+	ModeCutHead         // runs each request and closes the connection within the head of the response
+	ModeCutBody         // runs each request and closes the connection within the body of the response
+	ModeTrickle         // runs each request and sends the response byte by byte
 )
 
 // ModesByName has the modes by their names in experiments and in the demo.
 var ModesByName = map[string]Mode{
 	"serve": ModeServe, "freeze": ModeFreeze, "mute": ModeNoResponse, "error": ModeError, "spoil": ModeMalformed, "reset": ModeReset, "refuse": ModeReject,
+	"cut-head": ModeCutHead, "cut-body": ModeCutBody, "trickle": ModeTrickle,
 }
 
 // NodeConfig configures a Node. With the zero value, it responds immediately.
@@ -319,12 +323,39 @@
 		io.WriteString(c, "\x00\x01 this is no answer\r\n\r\n")
 		return false
 	}
+	var response Response
 	if n.cfg.Respond != nil {
-		return n.writeResponse(c, req, n.cfg.Respond(req, body))
+		response = n.cfg.Respond(req, body)
+	} else {
+		response = Response{Body: fmt.Sprintf("%s %s %s%s %d\n", n.cfg.Name, req.Method, req.Host, req.RequestURI, len(body))}
 	}
-	return n.writeResponse(c, req, Response{Body: fmt.Sprintf("%s %s %s%s %d\n", n.cfg.Name, req.Method, req.Host, req.RequestURI, len(body))})
+	text := encodeResponse(req, response)
+	switch mode {
+	case ModeCutHead:
+		io.WriteString(c, text[:strings.Index(text, headEnd)])
+		return false
+	case ModeCutBody:
+		io.WriteString(c, text[:max(strings.Index(text, headEnd)+len(headEnd), len(text)-1)])
+		return false
+	case ModeTrickle:
+		for i := range len(text) {
+			if _, err := io.WriteString(c, text[i:i+1]); err != nil {
+				return false
+			}
+			time.Sleep(trickleInterval)
+		}
+		return !req.Close
+	}
+	_, err := io.WriteString(c, text)
+	return err == nil && !req.Close
 }
 
+// headEnd separates the head of a response from its body.
+const headEnd = "\r\n\r\n"
+
+// trickleInterval is the time between two bytes in ModeTrickle.
+const trickleInterval = time.Millisecond
+
 // state returns the mode, a channel that is closed when it changes, and whether the node
 // is still in this generation, that is, has not crashed since.
 func (n *Node) state(generation int) (m Mode, changed <-chan struct{}, alive bool) {
@@ -392,6 +423,12 @@
 
 // writeResponse sends a response and reports whether the connection stays open.
 func (n *Node) writeResponse(c net.Conn, req *http.Request, response Response) bool {
+	_, err := io.WriteString(c, encodeResponse(req, response))
+	return err == nil && !req.Close
+}
+
+// encodeResponse returns a response to req as it is sent.
+func encodeResponse(req *http.Request, response Response) string {
 	if response.Status == 0 {
 		response.Status = http.StatusOK
 	}
@@ -405,6 +442,5 @@
 	if req.Method != http.MethodHead {
 		out.WriteString(response.Body)
 	}
-	_, err := io.WriteString(c, out.String())
-	return err == nil && !req.Close
+	return out.String()
 }
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -35,7 +35,7 @@
 	// redialPause is the pause after a failed connection attempt.
 	redialPause = 10 * time.Millisecond
 	// answerTimeout is how long after its latest time a client waits for a response.
-	answerTimeout = time.Second
+	answerTimeout = maxPause + time.Second
 	// extraTimeout is how long a client looks for bytes after a response.
 	extraTimeout = time.Millisecond
 )
@@ -76,6 +76,10 @@
 
 // send writes one request, or two if the client pipelines, and reads the responses.
 func (c *client) send() {
+	if every := c.plan.Leave.Every; every > 0 && (c.requests+1)%every == 0 {
+		c.sendAndLeave()
+		return
+	}
 	batch := []*Request{c.newRequest()}
 	if c.plan.Style == Pipelined {
 		second := c.newRequest()
@@ -87,6 +91,9 @@
 		text.WriteString(c.text(q))
 	}
 	err := c.write(text.String())
+	if err != nil && c.plan.Body > 0 {
+		err = nil // the response to a body that is not read may have arrived
+	}
 	sent := c.run.now()
 	for _, q := range batch {
 		q.Sent = sent
@@ -119,17 +126,25 @@
 // text returns the request as the platform's clients write it.
 func (c *client) text(q *Request) string {
 	head := fmt.Sprintf("Host: x\r\nX-Call-Id: %s\r\nX-Budget-Ms: %d\r\n", q.ID, q.Budget.Milliseconds())
+	body := "ok"
+	if c.plan.Body > 0 {
+		body = strings.Repeat("b", c.plan.Body)
+	}
+	body = fmt.Sprintf("Content-Length: %d%s%s", len(body), headEnd, body)
 	switch q.Class {
 	case "view":
 		return "GET /view HTTP/1.1\r\n" + head + "\r\n"
 	case "put":
-		return "POST /put HTTP/1.1\r\n" + head + "Idempotency-Key: " + q.ID + "\r\nContent-Length: 2\r\n\r\nok"
+		return "POST /put HTTP/1.1\r\n" + head + "Idempotency-Key: " + q.ID + "\r\n" + body
 	}
-	return "POST /pay HTTP/1.1\r\n" + head + "Content-Length: 2\r\n\r\nok"
+	return "POST /pay HTTP/1.1\r\n" + head + body
 }
 
+// headEnd separates the head of a request from its body.
+const headEnd = "\r\n\r\n"
+
 func (c *client) write(text string) error {
-	c.conn.SetWriteDeadline(time.Now().Add(c.plan.Budget))
+	c.conn.SetWriteDeadline(time.Now().Add(c.plan.Budget + answerSlack + answerTimeout))
 	pieces := 1
 	if c.plan.Style == Pieces {
 		pieces = 3
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -21,9 +21,13 @@
 	Discovery DiscoveryFault
 	Clients   []ClientPlan
 	Crowd     Crowd
+	Pauses    []Pause
 	Episodes  []Episode
 }
 
+// Pause is an interval in which no process of the sidecar runs.
+type Pause struct{ At, Length time.Duration }
+
 // SidecarPlan has the settings of the sidecar.
 type SidecarPlan struct {
 	Deadline      time.Duration // longest deadline of a class
@@ -35,7 +39,7 @@
 // EndpointFault is a fault of one endpoint.
 type EndpointFault struct {
 	Endpoint int
-	Mode     string // a name of fakeserver.ModesByName, or "slow"
+	Mode     string // a name of fakeserver.ModesByName, "slow", "late", "down" or "hang"
 	From, To time.Duration
 }
 
@@ -54,8 +58,36 @@
 	Budget time.Duration
 	Pause  time.Duration
 	Style  ClientStyle
+	Body   int // bytes of the body of requests that have one; 0 for a short body
+	Leave  Leave
+}
+
+// Leave describes how a client leaves some of its requests. The zero value leaves none.
+type Leave struct {
+	Every int // the client leaves each request of which the number is divisible by Every
+	How   LeaveKind
+	Where LeavePlace
+	After time.Duration // from the last byte that it sends until it leaves
 }
 
+// LeaveKind is what a client does to its connection when it leaves.
+type LeaveKind string
+
+const (
+	LeaveByClose     LeaveKind = "close"
+	LeaveByReset     LeaveKind = "reset"
+	LeaveByHalfClose LeaveKind = "half-close" // it ends its sending side and waits for the response
+)
+
+// LeavePlace is what a client has sent of a request when it leaves.
+type LeavePlace string
+
+const (
+	LeaveInHead  LeavePlace = "head"
+	LeaveInBody  LeavePlace = "body"
+	LeaveWaiting LeavePlace = "response" // the whole request
+)
+
 // ClientStyle is how a client writes its requests.
 type ClientStyle string
 
@@ -148,6 +180,7 @@
 		to := min(end, from+between(rng, time.Second, 3*time.Second))
 		p.Crowd = Crowd{Idle: p.Sidecar.Sockets * (1 + rng.IntN(2)), Slow: rng.IntN(20), From: from, To: to}
 	}
+	p.drawCallerFaults(rand.New(rand.NewPCG(seed, 0x1eaf)), end) // a source of its own, so that the rest of the plan of a seed stays
 	return p
 }
 
@@ -249,7 +282,11 @@
 
 // Duration returns how long the run takes: until the recovery has been measured.
 func (p *Plan) Duration() time.Duration {
-	return p.lastSignalAt() + recoveryTime + recoveryWindow
+	last := p.lastSignalAt()
+	for _, x := range p.Pauses {
+		last = max(last, x.end())
+	}
+	return last + recoveryTime + recoveryWindow
 }
 
 // recoveryWindow is the interval in which the share of served requests is measured.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -66,19 +66,27 @@
 	}
 }
 
-// killAt kills the process if it still runs at the given time, which is a break of the rules.
-func (r *run) killAt(p *process, at time.Duration) {
-	timer := time.NewTimer(at - r.now())
-	defer timer.Stop()
-	select {
-	case <-p.exited:
-	case <-timer.C:
-		p.mu.Lock()
-		p.record.Killed = true
-		p.mu.Unlock()
-		p.cmd.Process.Kill()
-		<-p.exited
+// killAfter kills the process if it has run for longer than allowed since the given time, which
+// is a break of the rules. Pauses do not count.
+func (r *run) killAfter(p *process, since, allowed time.Duration) {
+	for {
+		left := allowed + r.pausedSince(since) - (r.now() - since)
+		if left <= 0 {
+			break
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-p.exited:
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
 	}
+	p.mu.Lock()
+	p.record.Killed = true
+	p.mu.Unlock()
+	p.cmd.Process.Kill()
+	<-p.exited
 }
 
 // servingLine is in the log of a process once it serves.
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -10,6 +10,7 @@
 	Runs      map[string]int       // executions by request id, over all endpoints
 	Processes []Process
 	Drained   []Drain // with the actual times
+	Pauses    []Pause // with the actual times
 	CrowdFrom time.Duration
 	CrowdTo   time.Duration
 }
@@ -29,10 +30,11 @@
 	BrokenOff        // the connection was reset without a response
 	NoAnswer         // no response until long after the budget
 	Malformed        // the response was incomplete or malformed
+	Left             // the client left and did not wait for a response
 )
 
 func (e Ending) String() string {
-	return [...]string{"answered", "closed", "reset", "no answer", "malformed"}[e]
+	return [...]string{"answered", "closed", "reset", "no answer", "malformed", "left"}[e]
 }
 
 // Request is one request of a client.
@@ -50,6 +52,17 @@
 	Status    int
 	OwnBody   bool // the body is the one that endpoints send for this id
 	Extra     bool // bytes followed the response that no request has caused
+
+	Incomplete bool // the client left before it had sent the whole request
+	HalfClosed bool // the client ended its sending side after the request
+}
+
+// pausedBetween returns for how long the sidecar was paused in an interval.
+func (r *Record) pausedBetween(from, to time.Duration) (paused time.Duration) {
+	for _, x := range r.Pauses {
+		paused += max(0, min(to, x.end())-max(from, x.At))
+	}
+	return paused
 }
 
 // Process is one process of the sidecar.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -45,14 +45,16 @@
 	requests  []Request
 	arrivals  map[string][]Arrival
 	drained   []Drain
+	pauses    []Pause // that have ended
 	processes []*process
 }
 
-// endpointWork is the time that an endpoint takes for a request, slowFactor the factor on it in
-// the mode "slow".
+// endpointWork is the time that an endpoint takes for a request, slowFactor and lateFactor the
+// factors on it in the modes "slow" and "late".
 const (
 	endpointWork = 5 * time.Millisecond
 	slowFactor   = 60
+	lateFactor   = 1000 // beyond the longest deadline
 )
 
 // Run performs a plan and returns what was observed. All its processes have ended then.
@@ -145,6 +147,7 @@
 	}
 	events.Go(r.crowd)
 	events.Go(r.applyFaults)
+	events.Go(r.applyPauses)
 	current := first
 	for i := range r.plan.Episodes {
 		current = r.performEpisode(current, &r.plan.Episodes[i])
@@ -230,7 +233,7 @@
 	if !isFirst {
 		return
 	}
-	go r.killAt(p, r.now()+min(r.plan.Sidecar.Deadline, maxKillDeadline)+killDelay)
+	go r.killAfter(p, r.now(), min(r.plan.Sidecar.Deadline, maxKillDeadline)+killDelay)
 	if closeFront {
 		time.AfterFunc(frontDelay, func() { r.frontOpen.Store(false) })
 	}
@@ -244,7 +247,7 @@
 			r.sleepUntil(f.From)
 			r.setMode(f.Endpoint, f.Mode)
 			r.sleepUntil(f.To)
-			r.setMode(f.Endpoint, "serve")
+			r.endFault(f)
 		})
 	}
 	for _, d := range r.plan.Drains {
@@ -267,11 +270,36 @@
 	all.Wait()
 }
 
+// hangResetTime is for how long an endpoint resets connections after it has hung.
+const hangResetTime = 30 * time.Millisecond
+
+// endFault makes an endpoint serve again. What it held while it hung is reset.
+func (r *run) endFault(f EndpointFault) {
+	switch f.Mode {
+	case "down":
+		r.nodes[f.Endpoint].Restart()
+		return
+	case "hang":
+		r.setMode(f.Endpoint, "reset")
+		time.Sleep(hangResetTime)
+	}
+	r.setMode(f.Endpoint, "serve")
+}
+
 func (r *run) setMode(endpoint int, mode string) {
 	n := r.nodes[endpoint]
-	if mode == "slow" {
+	switch mode {
+	case "slow":
 		n.SetSlowdown(slowFactor)
 		return
+	case "late":
+		n.SetSlowdown(lateFactor)
+		return
+	case "down":
+		n.Crash()
+		return
+	case "hang":
+		mode = "freeze"
 	}
 	n.SetSlowdown(1)
 	n.SetMode(fakeserver.ModesByName[mode])
@@ -293,7 +321,7 @@
 
 // collect returns the record of a run that has ended.
 func (r *run) collect() *Record {
-	record := &Record{Plan: r.plan, Requests: r.requests, Arrivals: r.arrivals, Runs: map[string]int{}, Drained: r.drained,
+	record := &Record{Plan: r.plan, Requests: r.requests, Arrivals: r.arrivals, Runs: map[string]int{}, Drained: r.drained, Pauses: r.pauses,
 		CrowdFrom: time.Duration(r.crowdFrom.Load()), CrowdTo: time.Duration(r.crowdTo.Load())}
 	for _, n := range r.nodes {
 		for id, runs := range n.RunsByID() {
--- a/scripts/soak/main.go
+++ b/scripts/soak/main.go
@@ -132,6 +132,7 @@
 	for reason, n := range v.Excuses {
 		s.excuses[reason] += n
 	}
+	s.signals["pause"] += len(plan.Pauses)
 	for i := range plan.Episodes {
 		e := &plan.Episodes[i]
 		if e.Next != soak.NoSuccessor {
