--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -12,8 +12,11 @@
 )
 
 const (
-	testSeeds     = 12 // plans that TestSoak performs
+	testSeeds     = 12 // TestSoak performs the plans of the seeds from 1 to testSeeds
 	parallelPlans = 3  // of them at the same time
+	// leaversSeed is the seed of a plan in which clients that have left take the connections of
+	// others, see KNOWN-RED.txt.
+	leaversSeed = 35
 )
 
 // Real sidecar processes keep the rules under faults, crowds and series of signals that are drawn
@@ -27,7 +30,11 @@
 	for slot := range parallelPlans {
 		free <- slot
 	}
+	seeds := []uint64{leaversSeed}
 	for seed := uint64(1); seed <= testSeeds; seed++ {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
 			t.Parallel()
 			slot := <-free
