httpserver: the log tells which connections are closed to make room

The line now counts by state, with the age of the youngest that had brought no request, and a drain reports what is left when it ends. What the limit does moves to a file of its own, conn_limit.go, unchanged.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -8,13 +8,11 @@
 	"io"
 	"log/slog"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
 	"gorselink/internal/acceptloop"
 	"gorselink/internal/linkedlist"
-	"gorselink/internal/socketstate"
 )
 
 // Server holds the connections of callers, up to a maximum. At the maximum it closes a
@@ -29,8 +27,7 @@
 	mu               sync.Mutex
 	maxConns         int
 	openConns        int
-	closedForRoom    int                                      // connections asked to close to make room, since the last Report
-	rejectedForRoom  int                                      // new connections rejected for want of room, since the last Report
+	limitStats       limitStats                               // since the last Report
 	conns            [stateCount]linkedlist.List[*callerConn] // by state, the longest in that state first
 	draining         bool                                     // connections close once no request is open on them
 	closeIdle        bool                                     // connections that have served a request close when idle
@@ -88,90 +85,6 @@
 	}
 }
 
-// evictionTimeout bounds the wait for a connection that has been asked to close.
-const evictionTimeout = 50 * time.Millisecond
-
-// admit registers a new connection, or rejects it and returns nil. ahead holds the bytes
-// that have already been read from it. To make room, admit asks another connection to
-// close. That connection's own goroutine closes it, because only that goroutine knows
-// whether a request has arrived.
-func (s *Server) admit(nc net.Conn, ahead []byte) *callerConn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for s.openConns >= s.maxConns {
-		candidate := s.evictionCandidate()
-		if candidate == nil {
-			s.rejectedForRoom++
-			s.mu.Unlock()
-			rejectConn(nc, ahead)
-			s.mu.Lock()
-			return nil
-		}
-		s.closedForRoom++
-		handled := candidate.requestClose()
-		s.mu.Unlock()
-		select {
-		case <-handled:
-		case <-time.After(evictionTimeout): // it is blocked in a write; another connection may close instead
-		}
-		s.mu.Lock()
-	}
-	c := newCallerConn(s, nc)
-	s.openConns++
-	c.enterState(stateUnused)
-	return c
-}
-
-// Report logs how many connections were closed or rejected because of the maximum since the
-// last call, if any were. Call it about once a second.
-func (s *Server) Report() {
-	s.mu.Lock()
-	closed, rejected, maxConns := s.closedForRoom, s.rejectedForRoom, s.maxConns
-	s.closedForRoom, s.rejectedForRoom = 0, 0
-	s.mu.Unlock()
-	if closed > 0 || rejected > 0 {
-		slog.Info("too many caller connections; closing those without a request", "closed", closed, "rejected", rejected, "limit", maxConns)
-	}
-}
-
-// evictionCandidate returns the connection to close next to make room, or nil; s.mu must
-// be held. It skips a connection that waits for a request and has unread input, which
-// may be one.
-func (s *Server) evictionCandidate() *callerConn {
-	for st := range stateActive {
-		for e := s.conns[st].Front(); e != nil; e = s.conns[st].Next(e) {
-			if !e.Value.closeRequested && (st == stateRejected || st == stateReading || !socketstate.HasPendingData(e.Value.conn)) {
-				return e.Value
-			}
-		}
-	}
-	return nil
-}
-
-// connRejectionTimeout bounds the read and the write on a connection that is rejected.
-const connRejectionTimeout = 5 * time.Millisecond
-
-// rejectConn closes a connection for which there is no room. If the caller has sent
-// anything, it gets a 503 response first, because every complete request must get
-// a response.
-func rejectConn(nc net.Conn, ahead []byte) {
-	defer nc.Close()
-	buf := copyBuffers.Get().(*[]byte)
-	defer copyBuffers.Put(buf)
-	if len(ahead) == 0 {
-		nc.SetReadDeadline(time.Now().Add(connRejectionTimeout))
-		if n, _ := nc.Read(*buf); n == 0 {
-			return
-		}
-	}
-	nc.SetWriteDeadline(time.Now().Add(connRejectionTimeout))
-	unavailable := response{status: http.StatusServiceUnavailable, retryAfter: overloadRetryAfter}
-	if unavailable.write(nc, "", false) == nil {
-		closeWrite(nc)
-		socketstate.Discard(nc, *buf) // unread input would make the close a reset and lose the response
-	}
-}
-
 // closeWrite closes the sending side of c.
 func closeWrite(c net.Conn) {
 	if tc, ok := c.(interface{ CloseWrite() error }); ok {
@@ -195,6 +108,7 @@
 // If the process was not scheduled at the deadline, the responses that were due before it are
 // not written yet. Drain then waits for missedDeadlinePeriod more.
 func (s *Server) Drain(deadline time.Time) {
+	defer s.Report() // the process may end before the next call
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
@@ -392,33 +306,6 @@
 	}
 }
 
-// requestClose asks c to close and returns a channel that is closed when its state
-// changes; server.mu must be held.
-func (c *callerConn) requestClose() (handled <-chan struct{}) {
-	if !c.closeRequested {
-		c.closeRequested, c.closeHandled = true, make(chan struct{})
-	}
-	c.paced.stop()
-	select {
-	case c.closeSignal <- struct{}{}:
-	default: // already asked
-	}
-	return c.closeHandled
-}
-
-// clearCloseRequest ends a request to close and notifies its waiters; server.mu must be
-// held.
-func (c *callerConn) clearCloseRequest() {
-	if c.closeRequested {
-		c.closeRequested = false
-		close(c.closeHandled)
-	}
-	select {
-	case <-c.closeSignal:
-	default:
-	}
-}
-
 // signalDrained notifies Drain if no connection is left; s.mu must be held.
 func (s *Server) signalDrained() {
 	if !s.draining || s.openConns > 0 {
