httpserver: connections of callers who have left make room for those who come

Callers saw a 503, a reset or a close without a byte on a new connection, while the sidecar held connections of callers who were no longer there. A request whose caller ends its sending is cancelled, but its attempts keep 0.5 s for their response, as the end may be a half-close, and until then the connection counted as one with an open request, which is never closed to make room. A caller who gives up each request after 5 ms and comes again holds some 45 connections of a limit of 32 while endpoints hang.

Such a connection now has a state of its own, the first to be closed to make room. Its attempts are aborted, which ends the request, frees its memory and the connections to endpoints, and the final response (504) is written, so that a caller that only half-closed gets exactly one; where there is room it gets the endpoint's, as before. Abort now ends an attempt wherever it is: reads inside a response extended their deadline, writes of a streamed body too. A streamed request whose body has been sent, which a disconnect didn't cancel, is covered as well.

--- a/internal/clock/uses_test.go
+++ b/internal/clock/uses_test.go
@@ -31,7 +31,7 @@
 	"internal/sidecar/sidecar.go":    {"Unix"},
 	"internal/fakeserver/agent.go":   {"UnixMilli"},
 	"internal/trace/trace.go":        {"Parse"},
-	"internal/upstream/call.go":      {"Unix"},
+	"internal/upstream/conn.go":      {"Unix"},
 	"internal/upstream/readahead.go": {"Unix"},
 	"scripts/fleetlog/main.go":       {"Parse"},
 }
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -111,6 +111,7 @@
 	// changes.
 	closeRequested bool
 	closeHandled   chan struct{}
+	abort          func() // ends the open request in stateCallerGone
 }
 
 func newCallerConn(s *Server, nc net.Conn) *callerConn {
@@ -390,6 +391,9 @@
 	if unwatched && c.socket.State() == socketstate.DataPending {
 		c.earlyBytes.Store(true)
 	}
+	if left {
+		c.earlyBytes.Store(false) // nothing follows the end, so nothing is discarded after the response
+	}
 	c.pool, c.request = nil, nil // an idle connection holds no body
 	keepAlive = c.respond(req, responseFor(a, p), !left && !c.earlyBytes.Load())
 	if a.Upstream != nil {
@@ -402,14 +406,15 @@
 // whether another request may follow on the connection.
 func (c *callerConn) forwardUpload(req *Request, p *Plan, r *pool.Request) (keepAlive bool) {
 	u := r.Outgoing.Upload
-	responded := make(chan struct{})
+	responded, callerLeft := make(chan struct{}), make(chan bool, 1)
 	stopWatching := sync.OnceFunc(func() { close(responded) })
 	defer stopWatching()
 	c.paced.startReadAhead(&readAheadBuffer{longBudget: p.Pool.LongBodyBudget(), shortBudget: p.Pool.BodyBudget()})
-	go c.watchUpload(p.Pool, r, responded)
+	go func() { callerLeft <- c.watchUpload(p.Pool, r, responded) }()
 	p.Pool.RunFirstAttempt(r)
 	a := <-r.Response()
 	stopWatching()
+	left := <-callerLeft
 	<-u.Done // an attempt may still read from the caller
 	c.pool, c.request = nil, nil
 	c.paced.endBody()
@@ -424,7 +429,7 @@
 		c.rejectWith(responseFor(a, p))
 		return false
 	}
-	return c.respond(req, responseFor(a, p), true)
+	return c.respond(req, responseFor(a, p), !left)
 }
 
 // watchDelay is how long a request is open before its caller is watched for a
@@ -439,6 +444,7 @@
 	left := c.awaitDisconnect()
 	if left {
 		c.pool.Cancel(c.request)
+		c.setCallerGone(c.pool, c.request)
 	}
 	c.callerLeft <- left
 }
@@ -558,22 +564,23 @@
 const uploadPollInterval = 25 * time.Millisecond
 
 // watchUpload cancels a streamed request if its caller disconnects before the
-// response. It polls the socket, because only an attempt may wait for input. Until one does,
-// the body is read ahead, which makes a close behind it visible.
-func (c *callerConn) watchUpload(p *pool.Pool, r *pool.Request, responded <-chan struct{}) {
+// response, and reports whether it has. It polls the socket, because only an attempt may wait for
+// input. Until one does, the body is read ahead, which makes a close behind it visible.
+func (c *callerConn) watchUpload(p *pool.Pool, r *pool.Request, responded <-chan struct{}) (left bool) {
 	tick := time.NewTicker(uploadPollInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-responded:
-			return
+			return false
 		case <-tick.C:
 		}
 		c.paced.readAhead()
 		if c.peer.State() == socketstate.Closed {
 			r.Outgoing.Upload.Abort()
 			p.Cancel(r)
-			return
+			c.setCallerGone(p, r)
+			return true
 		}
 	}
 }
@@ -672,6 +679,7 @@
 func (c *callerConn) write(resp response, method string, keepAlive bool) error {
 	if resp.streams() {
 		c.responseDue = false // a response that has begun cannot be replaced
+		c.keepUntilWritten()
 	}
 	c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	err := resp.write(c.conn, method, keepAlive)
--- a/internal/httpserver/conn_limit.go
+++ b/internal/httpserver/conn_limit.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"gorselink/internal/pool"
 	"gorselink/internal/socketstate"
 )
 
@@ -70,7 +71,7 @@
 		closed += n
 	}
 	if closed > 0 || stats.rejected > 0 {
-		slog.Info("too many caller connections; closing those without a request", "closed", closed, "unused", stats.closed[stateUnused],
+		slog.Info("too many caller connections; closing those without a request", "closed", closed, "callers gone", stats.closed[stateCallerGone], "unused", stats.closed[stateUnused],
 			"youngest unused", stats.youngestUnused, "idle", stats.closed[stateIdle], "reading", stats.closed[stateReading],
 			"rejected", stats.rejected, "limit", maxConns)
 	}
@@ -82,7 +83,7 @@
 func (s *Server) evictionCandidate() *callerConn {
 	for st := range stateActive {
 		for e := s.conns[st].Front(); e != nil; e = s.conns[st].Next(e) {
-			if !e.Value.closeRequested && (st == stateRejected || st == stateReading || !socketstate.HasPendingData(e.Value.conn)) {
+			if !e.Value.closeRequested && (st == stateCallerGone || st == stateRejected || st == stateReading || !socketstate.HasPendingData(e.Value.conn)) {
 				return e.Value
 			}
 		}
@@ -114,12 +115,41 @@
 	}
 }
 
+// setCallerGone records that the caller has ended its sending while r is open. The end may be a
+// half-close, so the caller still gets a response: that of an endpoint, or a final one as soon as
+// the connection is needed for another caller.
+func (c *callerConn) setCallerGone(p *pool.Pool, r *pool.Request) {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.abort = func() { p.Abort(r) }
+	c.leaveState()
+	c.enterState(stateCallerGone)
+}
+
+// keepUntilWritten leaves stateCallerGone, because a response that is about to begin cannot be
+// replaced by a final one.
+func (c *callerConn) keepUntilWritten() {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.state == stateCallerGone {
+		c.abort = nil // frees the request
+		c.clearCloseRequest()
+		c.leaveState()
+		c.enterState(stateActive)
+	}
+}
+
 // requestClose asks c to close and returns a channel that is closed when its state
 // changes; server.mu must be held.
 func (c *callerConn) requestClose() (handled <-chan struct{}) {
 	if !c.closeRequested {
 		c.closeRequested, c.closeHandled = true, make(chan struct{})
 	}
+	if c.state == stateCallerGone {
+		c.abort()
+	}
 	c.paced.stop()
 	select {
 	case c.closeSignal <- struct{}{}:
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -43,11 +43,12 @@
 // The states, in the order in which connections are closed to make room. A connection in
 // stateActive is never closed to make room.
 const (
-	stateRejected connState = iota // a rejection is delayed, or input after the last response is discarded
-	stateUnused                    // no pool has taken a request from it yet, and none is arriving
-	stateIdle                      // between requests
-	stateReading                   // a request is arriving
-	stateActive                    // a request is open
+	stateCallerGone connState = iota // a request is open whose caller has ended its sending
+	stateRejected                    // a rejection is delayed, or input after the last response is discarded
+	stateUnused                      // no pool has taken a request from it yet, and none is arriving
+	stateIdle                        // between requests
+	stateReading                     // a request is arriving
+	stateActive                      // a request is open
 	stateCount
 )
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -335,8 +335,8 @@
 	p.logAbnormalEnd(r)
 }
 
-// Cancel ends r because its caller has disconnected. Pending attempts continue: a caller that
-// has closed only its sending side still receives their response.
+// Cancel ends r because its caller has disconnected. Pending attempts continue until Abort: a
+// caller that has closed only its sending side still receives their response.
 func (p *Pool) Cancel(r *Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -351,6 +351,10 @@
 	p.finishIfDone(r)
 }
 
+// Abort ends the pending attempts of r at once, because the connection of its caller, who has
+// disconnected, is needed for another. r then gets its response.
+func (p *Pool) Abort(r *Request) { r.call.Abort() }
+
 // Retire makes Submit return ErrRetired for all but resubmitted requests. Open requests
 // continue.
 func (p *Pool) Retire() {
--- a/internal/pool/upload.go
+++ b/internal/pool/upload.go
@@ -39,6 +39,9 @@
 		}
 		p.stats.Rejected++
 		response.Outcome, response.RetryAfter = Rejected, p.RetryAfter()
+	case balance.Cancelled:
+		p.stats.Cancelled++
+		response.Outcome = CallerGone
 	case balance.Timeout:
 		p.stats.Failed++
 		response.Outcome = TimedOut
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -149,12 +149,16 @@
 		resp.LocalDelay = localDelay
 	}
 	c.stallTimeout = 0
+	ended := call.unregister(attempt)
 	if resp != nil && resp.Remaining != nil {
-		call.unregister(attempt)
+		if c.aborted.Load() { // the rest of the body cannot be read
+			resp.Release()
+			return nil, balance.Cancelled
+		}
 		c.SetDeadline(time.Time{})
 		return resp, result
 	}
-	if call.unregister(attempt) && result == balance.Timeout && time.Now().Before(deadline) {
+	if ended && c.endedByCall(result) && time.Now().Before(deadline) {
 		result = balance.Cancelled
 	}
 	if result == balance.Reset && !c.responseStarted {
@@ -169,6 +173,12 @@
 	return resp, result
 }
 
+// endedByCall reports whether the end of the call, and not the endpoint, may have caused a result.
+// After an abort that includes an incomplete response.
+func (c *conn) endedByCall(result balance.Result) bool {
+	return result == balance.Timeout || result == balance.Error && c.aborted.Load()
+}
+
 // checkInUnused returns a connection without a request in progress to the pool. Its state is
 // checked at the next checkout.
 func (p *Pool) checkInUnused(c *conn) {
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -26,15 +26,18 @@
 	cancelDial *context.CancelFunc
 }
 
-// end stops writing and limits the wait for the response to the grace period. A dial is
+// end stops writing and limits the wait for the response to the grace period, 0 for none. A dial is
 // cancelled.
 func (a *activeAttempt) end(grace time.Duration) {
-	if a.cancelDial != nil {
+	switch {
+	case a.cancelDial != nil:
 		(*a.cancelDial)()
-		return
+	case grace == 0:
+		a.conn.abort()
+	default:
+		a.conn.SetWriteDeadline(expiredDeadline)
+		a.conn.setReadTimeout(a.deadline, grace)
 	}
-	a.conn.SetWriteDeadline(time.Unix(1, 0))
-	a.conn.setReadTimeout(a.deadline, grace)
 }
 
 // End ends the call. It does not wait for the attempts.
@@ -47,7 +50,8 @@
 }
 
 // Abort ends the call and all its attempts at once, also those that have a grace period since
-// End. It is used when the process exits.
+// End. It is used when the process exits and when the connection of a caller who has left is needed
+// for another.
 func (c *Call) Abort() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"gorselink/internal/http1"
@@ -26,6 +28,8 @@
 	// from now, but not beyond responseDeadline. A stallTimeout of 0 disables this.
 	stallTimeout     time.Duration
 	responseDeadline time.Time
+
+	aborted atomic.Bool // the attempt was aborted; all deadlines stay in the past
 }
 
 const (
@@ -61,6 +65,40 @@
 	return n, err
 }
 
+// expiredDeadline is a deadline in the past, which ends a read or write at once.
+var expiredDeadline = time.Unix(1, 0)
+
+// abort ends all reads and writes, including later ones. It may be called while another goroutine
+// uses the connection, which must then be closed.
+func (c *conn) abort() {
+	c.aborted.Store(true)
+	c.Conn.SetReadDeadline(expiredDeadline)
+	c.Conn.SetWriteDeadline(expiredDeadline)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	err := c.Conn.SetReadDeadline(t)
+	if c.aborted.Load() { // abort may have run before the deadline was set
+		return c.Conn.SetReadDeadline(expiredDeadline)
+	}
+	return err
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	err := c.Conn.SetWriteDeadline(t)
+	if c.aborted.Load() {
+		return c.Conn.SetWriteDeadline(expiredDeadline)
+	}
+	return err
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
 // reusable reports whether an idle connection is open and has received nothing. A closed
 // connection would reset the next request, and stray data would be read as its response.
 func (c *conn) reusable() bool {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -391,7 +391,7 @@
 	if responded {
 		p.noteContact(c.target, now)
 	}
-	if c.target.removed || p.closed || p.open > p.cfg.MaxConns {
+	if c.target.removed || c.aborted.Load() || p.closed || p.open > p.cfg.MaxConns {
 		p.connClosedLocked(c.target)
 		c.Close()
 		return
