httpserver: a request without room is read and rejected, not its connection

Callers saw a reset at a later piece of their request, or the end of the connection without a byte, in place of the 503 for want of room, and waited for others: a connection that could not be admitted was rejected in the accept loop, which waited 5 ms for a byte, read once, wrote the 503 and closed without reading on. Pieces that came later met a reset, and 100 silent connections held up all others for over 0.5 s, readiness checks too.

Up to 4 connections beyond the limit are now admitted and read like any other, with descriptors of the reserve. Room is decided when a request has arrived: if as many are open as the limit allows, it gets its 503, and the connection is read on after it as after any last response. Readiness checks are answered. The accept loop waits only when the 4 are in use as well. While a lowered limit is exceeded, the connections that are open are served as before.

TestRequestIsRejectedWhenAllAreActive failed before in each case: a first byte after 10 ms got no response, a later piece failed to be written, readiness checks got 503 or nothing. TestRejectionPrecedesBody failed to write its body. TestSilentConnectionsDoNotDelayOthers: 1.05 s behind 200 silent connections, with 1 s as the bound of 5 ms each.

--- a/internal/config/daemon.go
+++ b/internal/config/daemon.go
@@ -131,7 +131,8 @@
 // Division of the resources of a process or a pool; see docs/pools.md.
 const (
 	// ReservedDescriptors are file descriptors for everything but connections of
-	// callers and endpoints: logs, listeners, sources and the runtime's poller.
+	// callers and endpoints: logs, listeners, sources, the runtime's poller, the console,
+	// and the connections beyond the limit whose requests are rejected.
 	ReservedDescriptors = 32
 
 	// spareConnectionShare is the share of the smallest listener's connections by
--- a/internal/daemon/transaction.go
+++ b/internal/daemon/transaction.go
@@ -72,6 +72,12 @@
 	}
 }
 
+// extraConns returns how many connections beyond its limit each listener admits, of those that
+// all listeners may admit together.
+func (tx *transaction) extraConns() int {
+	return max(1, httpserver.ExtraConns/len(tx.cfg.Listeners))
+}
+
 // canReuseListener reports whether a running listener can be kept because all
 // settings that differ can be changed in place.
 func canReuseListener(old, l *config.Listener) bool {
@@ -86,6 +92,7 @@
 	l := &listener{cfg: *c}
 	l.router = httpserver.NewTableRouter(t, c.Form == config.FormPlatform, c.ClassHeader, tx.daemon.keyBindings, tx.daemon.seenIDs)
 	l.server = httpserver.NewServer(l.router, c.Connections, httpserver.Timeouts{Hello: c.HelloTimeout, Request: c.RequestTimeout, Idle: c.IdleTimeout})
+	l.server.SetExtraConns(tx.extraConns())
 	l.server.ForwardCallerIP = c.Form == config.FormOrdinary
 	if old := tx.listenerAt(c); old != nil {
 		l.acceptor, l.reusesAcceptor = old.acceptor, true
@@ -326,6 +333,7 @@
 				tx.addChange("listener %s: connection limit is now %d, was %d", c.Name, c.Connections, l.cfg.Connections)
 				l.server.SetMaxConns(c.Connections)
 			}
+			l.server.SetExtraConns(tx.extraConns())
 			l.cfg = *c
 			l.router.SetTable(tx.tables[c.Name], retention)
 		}
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -280,6 +280,10 @@
 		p.Pool.CountFull()
 		return false, c.rejectFull(req, p)
 	}
+	if !c.server.hasRoom() {
+		c.rejectWith(noRoomResponse(p))
+		return false, false
+	}
 	if err := c.handleExpect(req, p.MaxBody); err != nil {
 		c.reject(http.StatusExpectationFailed, err)
 		return false, false
@@ -333,6 +337,15 @@
 	return c.respond(req, resp, true)
 }
 
+// noRoomResponse is the response to a request for which there is no room beside those of other
+// connections. No endpoint has received it, so a retry is harmless.
+func noRoomResponse(p *Plan) response {
+	return response{status: http.StatusServiceUnavailable, text: errNoRoom.Error(), retryAfter: overloadRetryAfter, wholeSeconds: p.Ordinary}
+}
+
+// errNoRoom means that all connections have an open request.
+var errNoRoom = errors.New("too many connections have open requests")
+
 // handleExpect checks the Expect field and sends 100 Continue if the body is wanted.
 func (c *callerConn) handleExpect(req *Request, maxBody int64) error {
 	want := req.Fields.Get("Expect")
@@ -352,7 +365,12 @@
 
 // forward hands a request to its pool and writes the response.
 func (c *callerConn) forward(req *Request, p *Plan, b *requestBody) (served, keepAlive bool) {
-	c.setState(stateActive, time.Time{})
+	if !c.activate() {
+		b.release()
+		c.paced.endBody()
+		c.rejectWith(noRoomResponse(p))
+		return false, false
+	}
 	if !p.recordID() {
 		b.release()
 		return false, c.rejectRequest(req, http.StatusConflict, errDuplicateID)
--- a/internal/httpserver/conn_limit.go
+++ b/internal/httpserver/conn_limit.go
@@ -13,30 +13,31 @@
 // evictionTimeout bounds the wait for a connection that has been asked to close.
 const evictionTimeout = 50 * time.Millisecond
 
+// ExtraConns is how many connections a Server admits beyond its maximum while all others have an
+// open request. They serve to read a request, and to reject it unless there is room by then.
+const ExtraConns = 4
+
+// SetExtraConns changes how many connections are admitted beyond the maximum.
+func (s *Server) SetExtraConns(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.extraConns = n
+}
+
 // admit registers a new connection, or rejects it and returns nil. ahead holds the bytes
-// that have already been read from it. To make room, admit asks another connection to
-// close. That connection's own goroutine closes it, because only that goroutine knows
+// that have already been read from it. To make room, admit asks other connections to
+// close. A connection's own goroutine closes it, because only that goroutine knows
 // whether a request has arrived.
 func (s *Server) admit(nc net.Conn, ahead []byte) *callerConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for s.openConns >= s.maxConns {
-		candidate := s.evictionCandidate()
-		if candidate == nil {
-			s.limitStats.rejected++
-			s.mu.Unlock()
-			rejectConn(nc, ahead)
-			s.mu.Lock()
-			return nil
-		}
-		s.limitStats.countClosed(candidate)
-		handled := candidate.requestClose()
+	s.closeExcess()
+	if !s.awaitSlot() {
+		s.limitStats.rejected++
 		s.mu.Unlock()
-		select {
-		case <-handled:
-		case <-time.After(evictionTimeout): // it is blocked in a write; another connection may close instead
-		}
+		rejectConn(nc, ahead)
 		s.mu.Lock()
+		return nil
 	}
 	c := newCallerConn(s, nc)
 	s.openConns++
@@ -44,11 +45,122 @@
 	return c
 }
 
+// closeExcess asks as many connections to close as the maximum requires before a new one is
+// admitted. It does not wait for them. s.mu must be held.
+func (s *Server) closeExcess() {
+	for s.openConns-s.closing >= s.maxConns {
+		candidate := s.evictionCandidate()
+		if candidate == nil {
+			return
+		}
+		s.limitStats.countClosed(candidate)
+		candidate.requestClose()
+	}
+}
+
+// awaitSlot waits until no more connections are open than one below the maximum and the extra
+// ones. It returns false if none closes. s.mu must be held; it is released while waiting.
+func (s *Server) awaitSlot() bool {
+	for s.openConns >= s.maxConns+s.extraConns {
+		candidate := s.evictionCandidate()
+		if candidate != nil {
+			s.limitStats.countClosed(candidate)
+		} else if candidate = s.closingConn(); candidate == nil {
+			return false
+		}
+		alreadyAsked := candidate.closeRequested
+		if !s.awaitClose(candidate) && alreadyAsked {
+			return false // it is blocked in a write, like all others that were asked
+		}
+	}
+	return true
+}
+
+// awaitClose asks c to close and waits until its state changes, for evictionTimeout at most. It
+// reports whether the state has changed. s.mu must be held; it is released while waiting.
+func (s *Server) awaitClose(c *callerConn) bool {
+	handled := c.requestClose()
+	s.mu.Unlock()
+	defer s.mu.Lock()
+	timeout := time.NewTimer(evictionTimeout)
+	defer timeout.Stop()
+	select {
+	case <-handled:
+		return true
+	case <-timeout.C:
+		return false
+	}
+}
+
+// closingConn returns a connection that has been asked to close, or nil; s.mu must be held.
+func (s *Server) closingConn() *callerConn {
+	for st := range stateActive {
+		for e := s.conns[st].Front(); e != nil; e = s.conns[st].Next(e) {
+			if e.Value.closeRequested {
+				return e.Value
+			}
+		}
+	}
+	return nil
+}
+
+// requestLimit returns how many connections may have an open request; s.mu must be held.
+func (s *Server) requestLimit() int { return s.maxConns + s.keptConns }
+
+// openRequests returns how many connections have an open request; s.mu must be held.
+func (s *Server) openRequests() int {
+	return s.conns[stateActive].Len() + s.conns[stateCallerGone].Len()
+}
+
+// hasRoom reports whether another connection may have an open request.
+func (s *Server) hasRoom() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.openRequests() < s.requestLimit() || s.conns[stateCallerGone].Len() > 0 {
+		return true
+	}
+	s.limitStats.rejected++
+	return false
+}
+
+// activate puts c, on which a request has arrived, into stateActive. It returns false if too many
+// connections have an open request and none of their callers has left.
+func (c *callerConn) activate() bool {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.openRequests() >= s.requestLimit() {
+		gone := s.goneCaller()
+		if gone == nil || !s.awaitClose(gone) {
+			s.limitStats.rejected++
+			return false
+		}
+	}
+	c.setStateLocked(stateActive, time.Time{})
+	return true
+}
+
+// goneCaller returns a connection whose caller has left, or nil. It prefers one that has not been
+// asked to close. s.mu must be held.
+func (s *Server) goneCaller() *callerConn {
+	gone := &s.conns[stateCallerGone]
+	for e := gone.Front(); e != nil; e = gone.Next(e) {
+		if !e.Value.closeRequested {
+			s.limitStats.countClosed(e.Value)
+			return e.Value
+		}
+	}
+	if gone.Len() == 0 {
+		return nil
+	}
+	return gone.Front().Value
+}
+
 // limitStats counts what the maximum number of connections has caused.
 type limitStats struct {
 	closed         [stateCount]int // connections asked to close to make room, by state
 	youngestUnused time.Duration   // lowest age of those in stateUnused
-	rejected       int             // new connections rejected for want of room
+	rejected       int             // new connections and requests rejected for want of room
 }
 
 // countClosed counts c, which is asked to close to make room.
@@ -94,7 +206,7 @@
 // connRejectionTimeout bounds the read and the write on a connection that is rejected.
 const connRejectionTimeout = 5 * time.Millisecond
 
-// rejectConn closes a connection for which there is no room. If the caller has sent
+// rejectConn closes a connection for which there is not even an extra slot. If the caller has sent
 // anything, it gets a 503 response first, because every complete request must get
 // a response.
 func rejectConn(nc net.Conn, ahead []byte) {
@@ -146,6 +258,7 @@
 func (c *callerConn) requestClose() (handled <-chan struct{}) {
 	if !c.closeRequested {
 		c.closeRequested, c.closeHandled = true, make(chan struct{})
+		c.server.closing++
 	}
 	if c.state == stateCallerGone {
 		c.abort()
@@ -164,6 +277,7 @@
 	if c.closeRequested {
 		c.closeRequested = false
 		close(c.closeHandled)
+		c.server.closing--
 	}
 	select {
 	case <-c.closeSignal:
--- a/internal/httpserver/conn_limit_test.go
+++ b/internal/httpserver/conn_limit_test.go
@@ -215,3 +215,73 @@
 	defer r.server.mu.Unlock()
 	return r.server.conns[state].Len()
 }
+
+// fillConns opens n connections with requests that the endpoint does not answer until release is
+// closed.
+func (r *harness) fillConns(t *testing.T, n int) {
+	t.Helper()
+	for range n {
+		io.WriteString(r.dial(t), viewRequest(""))
+	}
+	eventually(t, "the endpoint has all requests", func() bool { return r.requests.Load() == int64(n) })
+}
+
+// Callers who stay hold all connections. A new caller gets a complete rejection whenever its
+// request arrives, and readiness checks are answered.
+func TestRequestIsRejectedWhenAllAreActive(t *testing.T) {
+	for style, send := range newCallerStyles {
+		t.Run(style, func(t *testing.T) {
+			t.Parallel()
+			release := make(chan struct{})
+			defer close(release)
+			r := newHarness(t, limitedConns, release)
+			r.fillConns(t, limitedConns)
+			if got := r.statusesOf(t, 1, send); got["503"] != 1 {
+				t.Errorf("new caller got %v, want 503", got)
+			}
+			probe := r.dial(t)
+			if err := send(probe, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+				t.Errorf("readiness check: %v", err)
+			}
+			if status, _, err := readResponse(bufio.NewReader(probe)); status != 200 {
+				t.Errorf("readiness check: status %d, error %v, want 200", status, err)
+			}
+		})
+	}
+}
+
+// A body that is still to come does not reset the connection before its caller has the rejection.
+func TestRejectionPrecedesBody(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	r := newHarness(t, limitedConns, release)
+	r.fillConns(t, limitedConns)
+	c := r.dial(t)
+	body := strings.Repeat("b", 300_000)
+	if err := sendPieces(c, payRequest(fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)), 3, 3*time.Millisecond); err != nil {
+		t.Errorf("write: %v", err)
+	}
+	if status, _, err := readResponse(bufio.NewReader(c)); status != 503 {
+		t.Errorf("status %d, error %v, want 503", status, err)
+	}
+}
+
+// A caller is answered although many silent connections have arrived before, each of which could
+// hold up the accept loop for connRejectionTimeout.
+func TestSilentConnectionsDoNotDelayOthers(t *testing.T) {
+	const silent = 200
+	release := make(chan struct{})
+	defer close(release)
+	r := newHarness(t, limitedConns, release)
+	r.fillConns(t, limitedConns)
+	for range silent {
+		r.dial(t)
+	}
+	start := time.Now()
+	if got := r.statusesOf(t, 1, newCallerStyles["at once"]); got["503"] != 1 {
+		t.Errorf("new caller got %v, want 503", got)
+	}
+	if took := time.Since(start); took >= silent*connRejectionTimeout {
+		t.Errorf("the response took %v behind %d silent connections, want less than %v", took, silent, silent*connRejectionTimeout)
+	}
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -16,7 +16,8 @@
 )
 
 // Server holds the connections of callers, up to a maximum. At the maximum it closes a
-// connection without an open request to make room, or else rejects the new one. This
+// connection without an open request to make room. If there is none, it admits up to
+// ExtraConns more, whose requests are read and rejected. This
 // keeps file descriptors available for connections to endpoints.
 type Server struct {
 	ForwardCallerIP bool // requests carry their caller's IP address
@@ -26,7 +27,10 @@
 
 	mu               sync.Mutex
 	maxConns         int
+	extraConns       int // connections beyond maxConns, for requests that are rejected
 	openConns        int
+	closing          int                                      // connections asked to close
+	keptConns        int                                      // connections that were open beyond maxConns when it was lowered
 	limitStats       limitStats                               // since the last Report
 	conns            [stateCount]linkedlist.List[*callerConn] // by state, the longest in that state first
 	draining         bool                                     // connections close once no request is open on them
@@ -55,15 +59,16 @@
 // NewServer returns a Server for at most maxConns connections. Their requests are routed
 // by router.
 func NewServer(router Router, maxConns int, timeouts Timeouts) *Server {
-	return &Server{router: router, maxConns: maxConns, timeouts: timeouts.withDefaults(), drained: make(chan struct{}, 1)}
+	return &Server{router: router, maxConns: maxConns, extraConns: ExtraConns, timeouts: timeouts.withDefaults(), drained: make(chan struct{}, 1)}
 }
 
 // SetMaxConns changes the maximum number of connections. Excess connections close as new
-// ones arrive.
+// ones arrive; until then their requests are served.
 func (s *Server) SetMaxConns(maxConns int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.maxConns = maxConns
+	s.keptConns = max(0, s.openConns-maxConns)
 }
 
 // OpenConns returns the number of open connections.
@@ -238,9 +243,14 @@
 // setState changes the state of c and sets its read deadline. It reports whether c is to
 // close, in which case reads end after finalReadTimeout.
 func (c *callerConn) setState(st connState, deadline time.Time) (closes bool) {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return c.setStateLocked(st, deadline)
+}
+
+// setStateLocked is setState for callers that hold server.mu.
+func (c *callerConn) setStateLocked(st connState, deadline time.Time) (closes bool) {
 	s := c.server
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	c.handover = s.handover
 	if closes = s.shouldClose(st); closes {
 		deadline = time.Now().Add(finalReadTimeout)
@@ -291,6 +301,7 @@
 	c.clearCloseRequest()
 	c.leaveState()
 	s.openConns--
+	s.keptConns = max(0, s.keptConns-1)
 	s.signalDrained()
 }
 
