httpserver: new connections do not push each other out at the limit

Callers saw the end of a new connection without a byte some 50 microseconds after it was opened, or 408 for a request whose pieces came 3 ms apart, when several of them connected at the same time. At the limit a connection without a request is the first to close, and the one accepted a moment ago is in that state too: if all others have open requests, it is the only candidate when the next arrives, and so is one whose request is arriving.

A connection now has 0.1 s for its first byte, for the arrival of a request and after its last response. Meanwhile idle ones close, as long as at most a quarter of all wait for their first request, or the newcomers use the extra connections; what is open beyond the limit then is closed after the 0.1 s. Only without a free extra connection the longest young one closes.

TestNewCallersDoNotReplaceEachOther failed before, and in each run: up to three of four callers got no response or a 408. TestNewCallersReplaceIdleConnections too, with room for all four.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -104,12 +104,14 @@
 	request      *pool.Request
 	reply        chan pool.Response
 
-	state connState // guarded by server.mu, as are the fields below
-	entry linkedlist.Link[*callerConn]
+	state      connState // guarded by server.mu, as are the fields below
+	stateSince time.Time // when the state was entered
+	entry      linkedlist.Link[*callerConn]
 
 	// closeRequested is set by requestClose; closeHandled is closed when the state
 	// changes.
 	closeRequested bool
+	closeDelayed   bool // it is asked to close after gracePeriod unless its state changes
 	closeHandled   chan struct{}
 	abort          func() // ends the open request in stateCallerGone
 }
--- a/internal/httpserver/conn_limit.go
+++ b/internal/httpserver/conn_limit.go
@@ -31,7 +31,7 @@
 func (s *Server) admit(nc net.Conn, ahead []byte) *callerConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closeExcess()
+	s.closeExcess(1)
 	if !s.awaitSlot() {
 		s.limitStats.rejected++
 		s.mu.Unlock()
@@ -42,27 +42,70 @@
 	c := newCallerConn(s, nc)
 	s.openConns++
 	c.enterState(stateUnused)
+	s.trim()
 	return c
 }
 
-// closeExcess asks as many connections to close as the maximum requires before a new one is
+// excess returns how many connections are open beyond the maximum, except for those that are
+// about to close; s.mu must be held.
+func (s *Server) excess() int { return s.openConns - s.closing - s.closeDelayed - s.maxConns }
+
+// closeExcess asks as many connections to close as the maximum requires before n more are
 // admitted. It does not wait for them. s.mu must be held.
-func (s *Server) closeExcess() {
-	for s.openConns-s.closing >= s.maxConns {
-		candidate := s.evictionCandidate()
+func (s *Server) closeExcess(n int) {
+	for s.excess()+n > 0 {
+		candidate := s.evictionCandidate(false)
 		if candidate == nil {
 			return
 		}
+		if wait := gracePeriod - time.Since(candidate.stateSince); candidate.state == stateReading && wait > 0 {
+			s.closeAfter(candidate, wait)
+			continue
+		}
 		s.limitStats.countClosed(candidate)
 		candidate.requestClose()
 	}
 }
 
+// closeAfter asks c to close after a delay if its request is still arriving then; s.mu must be
+// held.
+func (s *Server) closeAfter(c *callerConn, delay time.Duration) {
+	since := c.stateSince
+	c.closeDelayed = true
+	s.closeDelayed++
+	time.AfterFunc(delay, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		c.closeDelayed = false
+		s.closeDelayed--
+		if c.state == stateReading && c.stateSince.Equal(since) && !c.closeRequested && s.excess() > 0 {
+			s.limitStats.countClosed(c)
+			c.requestClose()
+		}
+		s.trim()
+	})
+}
+
+// trim closes connections beyond the maximum, now or after their gracePeriod; s.mu must be held.
+func (s *Server) trim() {
+	s.closeExcess(0)
+	if s.trimScheduled || s.excess() <= 0 {
+		return
+	}
+	s.trimScheduled = true
+	time.AfterFunc(gracePeriod, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.trimScheduled = false
+		s.trim()
+	})
+}
+
 // awaitSlot waits until no more connections are open than one below the maximum and the extra
 // ones. It returns false if none closes. s.mu must be held; it is released while waiting.
 func (s *Server) awaitSlot() bool {
 	for s.openConns >= s.maxConns+s.extraConns {
-		candidate := s.evictionCandidate()
+		candidate := s.evictionCandidate(true)
 		if candidate != nil {
 			s.limitStats.countClosed(candidate)
 		} else if candidate = s.closingConn(); candidate == nil {
@@ -189,15 +232,48 @@
 	}
 }
 
-// evictionCandidate returns the connection to close next to make room, or nil; s.mu must
-// be held. It skips a connection that waits for a request and has unread input, which
-// may be one.
-func (s *Server) evictionCandidate() *callerConn {
-	for st := range stateActive {
-		for e := s.conns[st].Front(); e != nil; e = s.conns[st].Next(e) {
-			if !e.Value.closeRequested && (st == stateCallerGone || st == stateRejected || st == stateReading || !socketstate.HasPendingData(e.Value.conn)) {
-				return e.Value
-			}
+// gracePeriod is how long a connection stays open before its first byte, while its request
+// arrives, or after its last response, although others need room. Callers need some milliseconds
+// for each.
+const gracePeriod = 100 * time.Millisecond
+
+// unusedShare is the share of the connections that may wait for their first request before idle
+// connections are spared at their expense.
+const unusedShare = 0.25
+
+// evictionCandidate returns the connection to close next to make room, or nil; s.mu must be held.
+// One that is unused or rejected is closed after its gracePeriod, or at once if slotNeeded is set
+// because not even an extra connection can be admitted.
+func (s *Server) evictionCandidate(slotNeeded bool) *callerConn {
+	if gone := s.longestIn(stateCallerGone); gone != nil {
+		return gone
+	}
+	for _, st := range []connState{stateRejected, stateUnused} {
+		if c := s.longestIn(st); c != nil && (slotNeeded || time.Since(c.stateSince) >= gracePeriod) {
+			return c
+		}
+	}
+	unused := s.conns[stateUnused].Len()
+	if idle := s.longestIn(stateIdle); idle != nil {
+		if !slotNeeded && float64(unused) > unusedShare*float64(s.maxConns) {
+			return nil
+		}
+		return idle
+	}
+	if slotNeeded || unused+s.conns[stateRejected].Len() == 0 {
+		return s.longestIn(stateReading)
+	}
+	return nil
+}
+
+// longestIn returns the connection that has been longest in a state and can be closed to make
+// room, or nil; s.mu must be held. It skips a connection that waits for a request and has unread
+// input, which may be one.
+func (s *Server) longestIn(st connState) *callerConn {
+	waits := st == stateUnused || st == stateIdle
+	for e := s.conns[st].Front(); e != nil; e = s.conns[st].Next(e) {
+		if !e.Value.closeRequested && !e.Value.closeDelayed && !(waits && socketstate.HasPendingData(e.Value.conn)) {
+			return e.Value
 		}
 	}
 	return nil
--- a/internal/httpserver/conn_limit_test.go
+++ b/internal/httpserver/conn_limit_test.go
@@ -84,6 +84,7 @@
 					t.Parallel()
 					release := make(chan struct{})
 					r := newHarness(t, limitedConns, release)
+					r.Conns().SetLimits(limitedConns, 0) // as many as the sidecar has
 					var left []net.Conn
 					for range limitedConns {
 						c := r.dial(t)
@@ -285,3 +286,66 @@
 		t.Errorf("the response took %v behind %d silent connections, want less than %v", took, silent, silent*connRejectionTimeout)
 	}
 }
+
+// One place is left when several callers connect at the same time. One of them is served, and
+// the others get a complete rejection: none is closed before its first byte to make room for another.
+func TestNewCallersDoNotReplaceEachOther(t *testing.T) {
+	const newCallers = 4
+	for style, send := range newCallerStyles {
+		t.Run(style, func(t *testing.T) {
+			t.Parallel()
+			release := make(chan struct{})
+			defer close(release)
+			r := newHarness(t, limitedConns, release)
+			r.fillConns(t, limitedConns-1)
+			got := r.statusesOf(t, newCallers, send)
+			if got["200"] == 0 || got["200"]+got["503"] != newCallers {
+				t.Errorf("%d new callers got %v, want 200 for one or more and 503 for the others", newCallers, got)
+			}
+		})
+	}
+}
+
+// Idle connections fill the limit when several callers connect at the same time. All of them are
+// served.
+func TestNewCallersReplaceIdleConnections(t *testing.T) {
+	const newCallers = 4
+	for style, send := range newCallerStyles {
+		t.Run(style, func(t *testing.T) {
+			t.Parallel()
+			r := newHarness(t, limitedConns, nil)
+			for range limitedConns {
+				c := r.dial(t)
+				io.WriteString(c, viewRequest(""))
+				if status, _, err := readResponse(bufio.NewReader(c)); status != 200 {
+					t.Fatalf("status %d, error %v, want 200", status, err)
+				}
+			}
+			if got := r.statusesOf(t, newCallers, send); got["200"] != newCallers {
+				t.Errorf("%d new callers got %v, want 200", newCallers, got)
+			}
+		})
+	}
+}
+
+// Connections without a request close after their first-byte period if others need the room, and
+// do not displace the idle connections of callers.
+func TestSilentConnectionsSpareIdleOnes(t *testing.T) {
+	r := newHarness(t, limitedConns, nil)
+	idle := r.dial(t)
+	in := bufio.NewReader(idle)
+	request := func() {
+		t.Helper()
+		io.WriteString(idle, viewRequest(""))
+		if status, _, err := readResponse(in); status != 200 {
+			t.Fatalf("caller with an idle connection: status %d, error %v, want 200", status, err)
+		}
+	}
+	request()
+	for range 10 * limitedConns {
+		r.dial(t)
+	}
+	request()
+	eventually(t, "no connection is open beyond the limit", func() bool { return r.server.OpenConns() <= limitedConns })
+	request()
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -30,9 +30,11 @@
 	extraConns       int // connections beyond maxConns, for requests that are rejected
 	openConns        int
 	closing          int                                      // connections asked to close
+	closeDelayed     int                                      // connections that are asked to close after gracePeriod
 	keptConns        int                                      // connections that were open beyond maxConns when it was lowered
 	limitStats       limitStats                               // since the last Report
 	conns            [stateCount]linkedlist.List[*callerConn] // by state, the longest in that state first
+	trimScheduled    bool                                     // connections beyond maxConns are closed after gracePeriod
 	draining         bool                                     // connections close once no request is open on them
 	closeIdle        bool                                     // connections that have served a request close when idle
 	handover         Handover                                 // takes over connections without an open request; nil for none
@@ -234,7 +236,7 @@
 // enterState puts c into a state; server.mu must be held.
 func (c *callerConn) enterState(st connState) {
 	c.server.conns[st].PushBack(&c.entry)
-	c.state = st
+	c.state, c.stateSince = st, time.Now()
 }
 
 // leaveState removes c from its state; server.mu must be held.
@@ -300,6 +302,7 @@
 	defer s.mu.Unlock()
 	c.clearCloseRequest()
 	c.leaveState()
+	c.stateSince = time.Time{} // a delayed request to close no longer applies
 	s.openConns--
 	s.keptConns = max(0, s.keptConns-1)
 	s.signalDrained()
