httpserver: conn.go, server.go and conn_limit.go are divided by concern

Watching a caller (watch.go), forwarding a request (forward.go), responding and rejecting (respond.go), the states of a connection (conn_state.go), which connection closes for another (eviction.go) and what the limit logs (limit_stats.go) have files of their own.

--- a/internal/clock/uses_test.go
+++ b/internal/clock/uses_test.go
@@ -20,20 +20,20 @@
 // wallUses lists, by file, the functions for which wallUse may return a name outside of tests.
 // docs/clocks.md gives the reason for each file.
 var wallUses = map[string][]string{
-	"internal/clock/clock.go":        {"Round"},
-	"internal/httpserver/server.go":  {"Unix"},
-	"internal/load/sender.go":        {"Unix"},
-	"internal/load/runner.go":        {"Unix"},
-	"internal/discovery/file.go":     {"Parse", "UnixMilli"},
-	"internal/pool/incarnation.go":   {"UnixMilli"},
-	"internal/pool/learned_state.go": {"UnixMilli", "Wall"},
-	"internal/pool/pool.go":          {"Wall"},
-	"internal/sidecar/sidecar.go":    {"Unix"},
-	"internal/fakeserver/agent.go":   {"UnixMilli"},
-	"internal/trace/trace.go":        {"Parse"},
-	"internal/upstream/conn.go":      {"Unix"},
-	"internal/upstream/readahead.go": {"Unix"},
-	"scripts/fleetlog/main.go":       {"Parse"},
+	"internal/clock/clock.go":           {"Round"},
+	"internal/httpserver/conn_state.go": {"Unix"},
+	"internal/load/sender.go":           {"Unix"},
+	"internal/load/runner.go":           {"Unix"},
+	"internal/discovery/file.go":        {"Parse", "UnixMilli"},
+	"internal/pool/incarnation.go":      {"UnixMilli"},
+	"internal/pool/learned_state.go":    {"UnixMilli", "Wall"},
+	"internal/pool/pool.go":             {"Wall"},
+	"internal/sidecar/sidecar.go":       {"Unix"},
+	"internal/fakeserver/agent.go":      {"UnixMilli"},
+	"internal/trace/trace.go":           {"Parse"},
+	"internal/upstream/conn.go":         {"Unix"},
+	"internal/upstream/readahead.go":    {"Unix"},
+	"scripts/fleetlog/main.go":          {"Parse"},
 }
 
 // wallNames are the functions, methods and constants that read or create wall-clock times.
