--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -301,7 +301,7 @@
 	readers.Wait()
 }
 
-// If every connection has an open request, a new connection is closed at once.
+// If every connection has an open request, a new connection that sends none is closed.
 func TestConnectionIsRejectedWhenAllAreActive(t *testing.T) {
 	release := make(chan struct{})
 	r := newHarness(t, 2, release)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -14,8 +14,8 @@
 const (
 	testSeeds     = 12 // TestSoak performs the plans of the seeds from 1 to testSeeds
 	parallelPlans = 3  // of them at the same time
-	// leaversSeed is the seed of a plan in which clients that have left take the connections of
-	// others, see KNOWN-RED.txt.
+	// leaversSeed is the seed of a plan in which clients that have left took the connections of
+	// others, see docs/incidents/callers-who-left.md.
 	leaversSeed = 35
 )
 
