--- a/review/cmd/chunk/main.go
+++ b/review/cmd/chunk/main.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return err
 	}
-	s, err := c.NewSidecar(standin.SidecarConfig{Discovery: discovery, MemoryMB: 64, Sockets: 512, Classes: standin.Classes()})
+	s, err := c.NewSidecar(standin.SidecarConfig{Discovery: discovery.Address, MemoryMB: 64, Sockets: 512, Classes: standin.Classes()})
 	if err != nil {
 		return err
 	}
--- a/review/cmd/upload/main.go
+++ b/review/cmd/upload/main.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return err
 	}
-	s, err := c.NewSidecar(standin.SidecarConfig{Discovery: discovery, MemoryMB: memoryMB, Sockets: 512, Classes: standin.Classes()})
+	s, err := c.NewSidecar(standin.SidecarConfig{Discovery: discovery.Address, MemoryMB: memoryMB, Sockets: 512, Classes: standin.Classes()})
 	if err != nil {
 		return err
 	}
@@ -81,7 +81,7 @@
 	var taken atomic.Int64
 	for i := range clients {
 		wg.Go(func() {
-			if whole, _ := request(c, s, fmt.Sprintf("%016x", 0x2000+i), bodyBytes+i%3*moreBytes); whole {
+			if whole, _ := request(c, s, fmt.Sprintf("%016x", 0x2000+i), bodyBytes+i%4/3*moreBytes); whole {
 				taken.Add(1)
 			}
 		})
