--- a/review/cmd/second/main.go
+++ b/review/cmd/second/main.go
@@ -19,12 +19,13 @@
 const (
 	budget    = 1500 * time.Millisecond
 	endpoints = 3
-	clients   = 48
+	clients   = 40
 	oneWay    = 600 * time.Microsecond // between two halls
-	share     = 0.1                    // of the answers that have a second copy
-	minLate   = 2 * time.Millisecond   // of the second copy
-	maxLate   = 9 * time.Millisecond
-	busy      = 3 * time.Second  // clients send so long,
+	share     = 0.1                    // of the answers, which have a second copy
+	minLate   = 3 * time.Millisecond
+	maxLate   = 8 * time.Millisecond
+	work      = 20 * time.Millisecond
+	busy      = time.Second      // clients send so long,
 	quiet     = 31 * time.Second // and rest so long
 	periods   = 4
 )
@@ -104,7 +105,7 @@
 		}
 		io.Copy(io.Discard, r.Body)
 		id := r.Header.Get("X-Call-Id")
-		time.Sleep(time.Duration(10+rand.IntN(20)) * time.Millisecond)
+		time.Sleep(work + rand.N(2*time.Millisecond))
 		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
 		if _, err := io.WriteString(conn, answer); err != nil {
 			return
