--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -25,6 +25,8 @@
 type Discovery struct {
 	Address string
 
+	Delay time.Duration // of each answer; set before the first call
+
 	mu      sync.Mutex
 	index   int
 	entries []Entry
@@ -68,6 +70,7 @@
 			return
 		}
 	}
+	time.Sleep(d.Delay)
 	d.mu.Lock()
 	list := map[string]any{"index": d.index, "snapshot": true, "endpoints": d.entries}
 	if err == nil && after == d.index {
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -138,6 +138,8 @@
 	Sockets   int
 	Classes   []Class
 	Zones     []string // hall-a unless set
+	Asked     bool     // discovery is asked, where lists are pushed otherwise
+	Known     []Entry
 }
 
 // NewSidecar writes the configuration of a sidecar, with the settings that the WIRE page has as
@@ -159,10 +161,17 @@
 	if cfg.Zones == nil {
 		cfg.Zones = []string{"hall-a"}
 	}
+	if cfg.Known == nil {
+		cfg.Known = []Entry{}
+	}
+	mode := "push"
+	if cfg.Asked {
+		mode = "ask"
+	}
 	config := map[string]any{
 		"name": "n1", "listen": s.Listen, "discovery": cfg.Discovery, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1.0, "memory_mb": cfg.MemoryMB, "sockets": cfg.Sockets},
-		"known":  map[string]any{"index": 1, "snapshot": true, "endpoints": []any{}},
+		"known":  map[string]any{"index": 1, "snapshot": true, "endpoints": cfg.Known},
 		"settings": map[string]any{
 			"Me": 0, "NInstances": 1, "Tier": 0, "Tiers": []string{"gateway", "ledger"}, "Zone": 0, "Zones": cfg.Zones,
 			"Kinds": []string{"gw-fast", "gw-std"}, "Clients": map[string]any{"MarksRetry": true},
@@ -172,7 +181,7 @@
 			"Obligations": map[string]any{"AnswerSlackS": 0.008, "AskWithinS": 10.0, "ColdShare": 0.31, "DrainGraceS": 2.0, "FallMultiple": 3.0, "OverloadForS": 3.0, "RampTimeS": 8.8},
 			"Prices": map[string]any{"Connection": 0.0, "CrossZone": 0.015, "Handshake": 0.0, "LateFail": 0.08, "Moves": 0.0, "Origin": 0.0, "Peer": 0.0, "Probe": 0.0,
 				"RegistryMode": 0.0, "Waste": 0.02},
-			"OverShareWorth": 0.1, "RegistryMode": "push", "Report": map[string]any{"Fields": []string{}, "How": "none"}, "RequestClasses": cfg.Classes,
+			"OverShareWorth": 0.1, "RegistryMode": mode, "Report": map[string]any{"Fields": []string{}, "How": "none"}, "RequestClasses": cfg.Classes,
 			"Specifics": map[string]any{"PassesDeadline": false}, "Tenants": []any{}, "TickS": 0.002, "WeightSource": "nominal", "Workload": "chain", "WorthBy": "request",
 		},
 	}
@@ -237,3 +246,15 @@
 		}
 	}
 }
+
+// Next starts another process of the sidecar and waits until its console says that it is ready.
+func (s *Sidecar) Next(console string) (*Process, error) {
+	return s.start("successor", func() (bool, error) {
+		resp, err := http.Get("http://" + console + "/ready")
+		if err != nil {
+			return false, nil
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK, nil
+	})
+}
