Review: the records name what was sent, answered and run

Need: a record has to show each request, not only what broke the rule. Added: a line for each request sent, run and answered, and for each step of a task.

--- a/review/cmd/lease/main.go
+++ b/review/cmd/lease/main.go
@@ -121,6 +121,7 @@
 	first, last := map[string]int64{}, map[string]int64{}
 	var order []string
 	for _, s := range read(work) {
+		c.Note("work: epoch %s, process %d, a step at %d (Unix ms)", s.epoch, s.pid, s.at)
 		if _, ok := first[s.epoch]; !ok {
 			first[s.epoch] = s.at
 			order = append(order, s.epoch)
--- a/review/cmd/memory/main.go
+++ b/review/cmd/memory/main.go
@@ -38,6 +38,7 @@
 	text := strings.Repeat("x", piece)
 	for i := range endpoints {
 		e, err := c.Serve(fmt.Sprintf("s-%d", i+1), func(conn *net.TCPConn, r *http.Request) bool {
+			c.Note("s-%d: runs request %s", i+1, r.Header.Get("X-Call-Id"))
 			time.Sleep(20 * time.Millisecond)
 			io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
 			for n := 0; n < answer; n += piece {
@@ -72,12 +73,14 @@
 			open.Add(1)
 			defer open.Add(-1)
 			id := fmt.Sprintf("%016x", 0x2000+i)
+			c.Note("client %s: request sent", id)
 			n, err := download(c.Trouble, s, id)
 			if err != nil {
 				cut.Add(1)
 				c.Note("client %s: answer cut off after %d bytes: %v", id, n, err)
 				return
 			}
+			c.Note("client %s: %d bytes of an answer came, whole", id, n)
 			whole.Add(1)
 		})
 		time.Sleep(5 * time.Millisecond)
@@ -143,7 +146,7 @@
 		return 0, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		return 0, nil // refused or failed, which is no break
+		return 0, nil // refused or failed, which is no break: 0 bytes in the record
 	}
 	for buf := make([]byte, piece); ; {
 		k, err := resp.Body.Read(buf)
--- a/review/cmd/second/main.go
+++ b/review/cmd/second/main.go
@@ -105,6 +105,7 @@
 		}
 		io.Copy(io.Discard, r.Body)
 		id := r.Header.Get("X-Call-Id")
+		c.Note("%s: runs payment %s", name, id)
 		time.Sleep(work + rand.N(2*time.Millisecond))
 		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
 		if _, err := io.WriteString(conn, answer); err != nil {
@@ -194,6 +195,7 @@
 	for time.Now().Before(end) {
 		id := fmt.Sprintf("%016x", 0x2000+n.Add(1))
 		fmt.Fprintf(conn, "POST /payment/x HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: %s\r\nX-Caller: acme\r\nX-Budget-Ms: %d\r\nContent-Length: %d\r\n\r\n%s", id, budget.Milliseconds(), len(id), id)
+		c.Note("client: payment %s sent", id)
 		conn.SetReadDeadline(time.Now().Add(budget + time.Second))
 		resp, err := http.ReadResponse(in, nil)
 		if err != nil {
@@ -207,6 +209,7 @@
 		case string(body) != id:
 			c.Break("the payment %s was answered with the answer of %s", id, body)
 		default:
+			c.Note("client: payment %s answered with status 200 and its own answer", id)
 			served.Add(1)
 		}
 		if resp.Close {
