Review: steps of a lease's task are timed by the machine's uptime, not by wall time

Need: the project's tests allow wall time only where docs/clocks.md lists it, and walk through review/ too. Changed: the worker of case 2 writes /proc/uptime; an overlap must be longer than its 10 ms.

--- a/review/cmd/lease/main.go
+++ b/review/cmd/lease/main.go
@@ -83,7 +83,7 @@
 
 // step is one line of the work.
 type step struct {
-	at    int64 // Unix ms
+	at    time.Duration // uptime of the machine
 	epoch string
 	pid   int
 }
@@ -95,7 +95,10 @@
 		if len(fields) != 3 {
 			continue
 		}
-		at, _ := strconv.ParseInt(fields[0], 10, 64)
+		at, err := time.ParseDuration(fields[0] + "s")
+		if err != nil {
+			continue
+		}
 		pid, _ := strconv.Atoi(fields[2])
 		steps = append(steps, step{at, fields[1], pid})
 	}
@@ -118,10 +121,10 @@
 
 // judge checks that no task worked while a task of a later epoch did.
 func judge(c *standin.Case, work string) error {
-	first, last := map[string]int64{}, map[string]int64{}
+	first, last := map[string]time.Duration{}, map[string]time.Duration{}
 	var order []string
 	for _, s := range read(work) {
-		c.Note("work: epoch %s, process %d, a step at %d (Unix ms)", s.epoch, s.pid, s.at)
+		c.Note("work: epoch %s, process %d, a step at uptime %v", s.epoch, s.pid, s.at)
 		if _, ok := first[s.epoch]; !ok {
 			first[s.epoch] = s.at
 			order = append(order, s.epoch)
@@ -132,9 +135,9 @@
 		return fmt.Errorf("no task has worked")
 	}
 	for i, epoch := range order {
-		c.Note("task of epoch %s: first step at %d, last at %d (Unix ms)", epoch, first[epoch], last[epoch])
-		if i > 0 && last[order[i-1]] >= first[epoch] {
-			c.Break("the task of epoch %s worked for %d ms beside that of epoch %s", order[i-1], last[order[i-1]]-first[epoch], epoch)
+		c.Note("task of epoch %s: first step at uptime %v, last at %v", epoch, first[epoch], last[epoch])
+		if i > 0 && last[order[i-1]] > first[epoch] {
+			c.Break("the task of epoch %s worked for %v beside that of epoch %s", order[i-1], last[order[i-1]]-first[epoch], epoch)
 		}
 	}
 	return nil
--- a/review/cmd/worker/main.go
+++ b/review/cmd/worker/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -32,7 +33,7 @@
 	for tick := time.NewTicker(step); ; {
 		select {
 		case <-tick.C:
-			fmt.Fprintf(f, "%d %s %d\n", time.Now().UnixMilli(), os.Getenv("LEASE_EPOCH"), os.Getpid())
+			fmt.Fprintf(f, "%s %s %d\n", uptime(), os.Getenv("LEASE_EPOCH"), os.Getpid())
 		case <-end:
 			last = time.After(finish)
 		case <-last:
@@ -42,3 +43,14 @@
 		}
 	}
 }
+
+// uptime returns the machine's uptime in seconds, the monotonic clock that all processes share.
+func uptime() string {
+	text, err := os.ReadFile("/proc/uptime")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	seconds, _, _ := strings.Cut(string(text), " ")
+	return seconds
+}
