pool: the first attempt in a test waits until its retry has an endpoint

The test disabled the endpoint chosen for it before the attempt, so that the retry would go elsewhere, and relied on the attempt being sent within confirmInterval (10 ms). After that the pool asks the Balancer again, which refuses a disabled endpoint, as it should; nothing was sent, and the wait for its arrival had no bound. It is a fault of the test.

The endpoint is now disabled while the first attempt is open: its handler holds the request until that is done, so no time has to be kept. The wait for the arrival ends after testTimeout with its reason. All checks of the subtests and their bounds are as before; the 400 ms of the slow connect, too.

--- a/internal/pool/confirm_test.go
+++ b/internal/pool/confirm_test.go
@@ -36,8 +36,13 @@
 			}
 			t.Cleanup(func() { late.Close() })
 			firstReceived := make(chan struct{})
-			aborting := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			abortFirst := make(chan struct{})
+			aborting := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				close(firstReceived)
+				select {
+				case <-abortFirst:
+				case <-r.Context().Done(): // the attempt has ended
+				}
 				panic(http.ErrAbortHandler)
 			}))
 			t.Cleanup(aborting.Close)
@@ -69,13 +74,15 @@
 			if err := p.Submit(r); err != nil {
 				t.Fatal(err)
 			}
+			go p.RunFirstAttempt(r)
 			if c.isRetry {
-				p.SetDisabled(map[string]bool{"aborting": true}) // before the first attempt
-			}
-			ended := make(chan struct{})
-			go func() { p.RunFirstAttempt(r); close(ended) }()
-			if c.isRetry {
-				<-firstReceived
+				select {
+				case <-firstReceived:
+				case <-time.After(testTimeout):
+					t.Fatal("timed out waiting for: the first attempt has reached its endpoint")
+				}
+				p.SetDisabled(map[string]bool{"aborting": true}) // the retry goes to the late endpoint
+				close(abortFirst)
 			}
 			eventually(t, "the late endpoint is being dialled", func() bool {
 				_, mostConns := conns.ConnStats()
