sidecar: a log line tells what the memory is used for when it is short

A sidecar with 341 clients that read long answers slowly goes over its memory limit and is killed, and nothing in its log told why: budgets of bodies and read-ahead, buffers beside them and garbage could not be told apart.

From four fifths of the runtime's memory limit on the line "memory is short" comes once a second, with the runtime's use, its limit, objects, stacks, what is reserved of each budget, and the connections of both sides.

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -20,6 +20,9 @@
 // exceed the total.
 func (b *Budget) Available() int64 { return b.available.Load() }
 
+// InUse returns the number of reserved bytes.
+func (b *Budget) InUse() int64 { return b.Total() - b.Available() }
+
 // Reserve reserves n bytes of the budget and reports whether they were available.
 func (b *Budget) Reserve(n int64) (Reservation, bool) {
 	if n == 0 {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -90,6 +90,7 @@
 	operatorState       *fleet.OperatorStore
 
 	mu               sync.Mutex
+	runtimeLimit     int64               // memory limit of the Go runtime, in bytes
 	drained          bool                // by an operator
 	closeIdleTimer   *time.Timer         // closes idle caller connections after newConnPeriod
 	previous         *fleet.HandoverLink // to the process that this one takes over from, until it exits
@@ -258,7 +259,8 @@
 		processes = 2
 	}
 	memory, conns := s.memoryBytes()/processes, max(2, s.limits.Sockets/int(processes)-config.ReservedDescriptors)
-	debug.SetMemoryLimit(int64(float64(memory) * heapFraction))
+	s.runtimeLimit = int64(float64(memory) * heapFraction)
+	debug.SetMemoryLimit(s.runtimeLimit)
 	s.upstream.SetLimits(conns/2, memory/readAheadDivisor)
 	s.server.SetMaxConns(conns / 2)
 	s.pool.SetLimits(bodyLimits(memory))
@@ -355,6 +357,7 @@
 		case now := <-tick.C:
 			s.pool.Report(now)
 			s.server.Report()
+			s.reportMemory()
 		}
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -213,6 +213,9 @@
 	return p.open
 }
 
+// LongResponseMemory returns the memory reserved for responses over SmallResponseBytes, in bytes.
+func (p *Pool) LongResponseMemory() int64 { return p.responseMemory.InUse() }
+
 // ConnStats returns the number of endpoints with open connections and the largest number of
 // connections to one of them.
 func (p *Pool) ConnStats() (endpoints, most int) {
