sidecar: all memory of a request belongs to a budget, and slow readers need no buffer

Only a part of what a request holds was counted. The first 64 KiB of a response, the buffer for forwarding and those of the connections had no budget, and the budgets were parts of the limit as if connections needed nothing. A heap profile at 53 MB: 24 MB first bytes of responses, 10.7 MB buffers for forwarding, 9.7 MB read-ahead, 5.4 MB read buffers.

Responses up to 64 KiB and buffers for forwarding now have a budget; without memory a short response is streamed and pieces are smaller. The first bytes are freed once written. A stream waits for data and for its caller without a buffer and holds one only while it copies a piece. The budgets share what the connections that the descriptors allow leave (divideLimits), and unused chunks are kept only while nothing else has reserved their memory. The same cause on related paths: error responses are read without being held, a short chunked request body no longer keeps 64 KiB of which only its length is reserved, streamed uploads and callers that send early bytes need no buffer beside the budget. serve limits the requests of a pool by its memory already.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -201,7 +201,7 @@
 			limit = max(current, limit-(excess*increase+requested-1)/requested)
 		}
 		if limit != current {
-			p.pool.Conns().SetLimits(limit, p.cfg.Memory/config.LargeResponseMemoryDivisor)
+			p.pool.Conns().SetLimits(connLimits(&p.cfg, limit))
 		}
 	}
 }
@@ -280,6 +280,12 @@
 	return seed
 }
 
+// connLimits returns the limits of a pool's connections. Short responses have no budget, because the
+// number of requests is limited by the memory.
+func connLimits(p *config.Pool, maxConns int) upstream.Limits {
+	return upstream.Limits{MaxConns: maxConns, LargeResponseBytes: p.Memory / config.LargeResponseMemoryDivisor}
+}
+
 func newConnPool(p *config.Pool, maxConns int) *upstream.Pool {
 	return upstream.New(upstream.Config{
 		DialTimeout:          p.ConnectTimeout,
--- a/internal/daemon/transaction.go
+++ b/internal/daemon/transaction.go
@@ -412,7 +412,7 @@
 	}
 	p.pool.SetLimits(poolLimits(c))
 	if old.Memory != c.Memory {
-		p.pool.Conns().SetLimits(p.pool.Conns().MaxConns(), c.Memory/config.LargeResponseMemoryDivisor)
+		p.pool.Conns().SetLimits(connLimits(c, p.pool.Conns().MaxConns()))
 	}
 	if old.EndpointSource.String() != c.EndpointSource.String() {
 		p.pool.SetSource(c.EndpointSource.NewSource())
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -142,6 +143,9 @@
 			b.data = b.data[:len(b.data)+k]
 		}
 		if err == io.EOF {
+			if len(b.data) < cap(b.data) {
+				b.data = bytes.Clone(b.data) // to hold only what stays reserved
+			}
 			return nil
 		}
 		if err != nil {
--- a/internal/httpserver/conn_limit_test.go
+++ b/internal/httpserver/conn_limit_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"gorselink/internal/upstream"
 )
 
 // limitedConns is the maximum number of connections in these tests.
@@ -84,7 +86,7 @@
 					t.Parallel()
 					release := make(chan struct{})
 					r := newHarness(t, limitedConns, release)
-					r.Conns().SetLimits(limitedConns, 0) // as many as the sidecar has
+					r.Conns().SetLimits(upstream.Limits{MaxConns: limitedConns}) // as many as the sidecar has
 					var left []net.Conn
 					for range limitedConns {
 						c := r.dial(t)
--- a/internal/httpserver/forward.go
+++ b/internal/httpserver/forward.go
@@ -45,6 +45,9 @@
 	c.watchTimer.Reset(watchDelay)
 	p.Pool.RunFirstAttempt(r)
 	a := <-r.Response()
+	if a.Upstream != nil {
+		defer a.Upstream.Release() // also after a panic
+	}
 	left := false
 	c.setDiscardInput(false)
 	unwatched := c.watchTimer.Stop() // watchCaller has not started
@@ -60,11 +63,7 @@
 		c.earlyBytes.Store(false) // nothing follows the end, so nothing is discarded after the response
 	}
 	c.pool, c.request = nil, nil // an idle connection holds no body
-	keepAlive = c.respond(req, responseFor(a, p), !left && !c.earlyBytes.Load())
-	if a.Upstream != nil {
-		a.Upstream.Release()
-	}
-	return true, keepAlive
+	return true, c.respond(req, responseFor(a, p), !left && !c.earlyBytes.Load())
 }
 
 // forwardUpload forwards a request whose body is sent while it arrives. It reports
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -93,7 +93,7 @@
 			head = append(head, "Transfer-Encoding: chunked\r\n"...)
 		}
 		*buf = append(head, "\r\n"...)
-		return writeStream(w, *buf, body, rest)
+		return writeStream(w, *buf, r.endpoint)
 	case r.status != http.StatusNoContent: // has no Content-Length (RFC 9110, section 8.6)
 		head = append(head, "Content-Length: "...)
 		head = strconv.AppendInt(head, int64(length), 10)
--- a/internal/httpserver/stream.go
+++ b/internal/httpserver/stream.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"gorselink/internal/socketstate"
 	"gorselink/internal/upstream"
 )
 
@@ -24,55 +25,100 @@
 )
 
 // writeStream writes a response while it arrives: its head, the available part of its
-// body, and the rest as the endpoint sends it. After an error the connection must close.
-// The caller can tell that the response is incomplete, because neither its length nor
-// its last chunk is reached.
-func writeStream(w io.Writer, head, available []byte, rest *upstream.BodyStream) error {
-	c, isConn := w.(net.Conn)
+// body, whose memory it frees, and the rest as the endpoint sends it. After an error the
+// connection must close. The caller can tell that the response is incomplete, because neither
+// its length nor its last chunk is reached.
+func writeStream(w io.Writer, head []byte, resp *upstream.Response) error {
+	rest := resp.Remaining
+	out := newStreamWriter(w, rest.Length < 0)
+	if err := out.write(head, resp.Body); err != nil {
+		return err
+	}
+	resp.ReleaseBody()
+	for complete := false; !complete; {
+		if err := rest.WaitForData(); err != nil {
+			return err
+		}
+		start := time.Now()
+		if err := out.waitWritable(); err != nil {
+			return err
+		}
+		slow := time.Since(start) > slowWriteThreshold
+		var err error
+		if complete, err = out.forwardPiece(rest); err != nil {
+			return err
+		}
+		if slow {
+			rest.ReadAhead()
+		}
+	}
+	return out.end()
+}
+
+// streamWriter writes a body in pieces.
+type streamWriter struct {
+	out     io.Writer
+	conn    net.Conn // out if it is a connection, or nil
+	chunked bool
+}
+
+func newStreamWriter(w io.Writer, chunked bool) *streamWriter {
+	conn, _ := w.(net.Conn)
 	if tc, ok := w.(*net.TCPConn); ok {
 		tc.SetWriteBuffer(streamSendBufferBytes)
 	}
-	buf := copyBuffers.Get().(*[]byte)
-	defer copyBuffers.Put(buf)
-	chunked := rest.Length < 0
-	write := func(pieces ...[]byte) error {
-		if isConn {
-			c.SetWriteDeadline(time.Now().Add(streamWriteTimeout))
-		}
-		buffers := net.Buffers(pieces)
-		_, err := buffers.WriteTo(w)
-		return err
+	return &streamWriter{w, conn, chunked}
+}
+
+// extendDeadline gives the caller time to take the next piece.
+func (s *streamWriter) extendDeadline() {
+	if s.conn != nil {
+		s.conn.SetWriteDeadline(time.Now().Add(streamWriteTimeout))
 	}
-	piece := func(prefix, data []byte) error {
-		if chunked && len(data) > 0 {
-			prefix = strconv.AppendInt(prefix, int64(len(data)), 16)
-			return write(append(prefix, "\r\n"...), data, []byte("\r\n"))
-		}
-		return write(prefix, data)
+}
+
+// waitWritable waits until the caller takes more data.
+func (s *streamWriter) waitWritable() error {
+	if s.conn == nil {
+		return nil
 	}
-	if err := piece(head, available); err != nil {
-		return err
+	s.extendDeadline()
+	return socketstate.WaitWritable(s.conn)
+}
+
+// write writes a prefix and then data of the body.
+func (s *streamWriter) write(prefix, data []byte) error {
+	s.extendDeadline()
+	pieces := net.Buffers{prefix, data}
+	if s.chunked && len(data) > 0 {
+		prefix = strconv.AppendInt(prefix, int64(len(data)), 16)
+		pieces = net.Buffers{append(prefix, "\r\n"...), data, []byte("\r\n")}
 	}
-	for {
-		n, err := rest.Read(*buf)
-		if n > 0 {
-			start := time.Now()
-			if err := piece(nil, (*buf)[:n]); err != nil {
-				return err
-			}
-			if time.Since(start) > slowWriteThreshold {
-				rest.ReadAhead()
-			}
-		}
-		if err == io.EOF {
-			break
-		}
-		if err != nil {
-			return err
+	_, err := pieces.WriteTo(s.out)
+	return err
+}
+
+// forwardPiece reads data that has arrived of a body and writes it. It reports whether the body is
+// complete. A buffer is used only meanwhile, so that slow connections hold none.
+func (s *streamWriter) forwardPiece(body *upstream.BodyStream) (complete bool, err error) {
+	buffer := body.CopyBuffer()
+	defer buffer.Release()
+	n, readErr := body.Read(buffer.Bytes())
+	if n > 0 {
+		if err := s.write(nil, buffer.Bytes()[:n]); err != nil {
+			return false, err
 		}
 	}
-	if chunked {
-		return write([]byte("0\r\n\r\n"))
+	if readErr == io.EOF {
+		return true, nil
+	}
+	return false, readErr
+}
+
+// end writes the end of the body.
+func (s *streamWriter) end() error {
+	if !s.chunked {
+		return nil
 	}
-	return nil
+	return s.write([]byte("0\r\n\r\n"), nil)
 }
--- a/internal/httpserver/watch.go
+++ b/internal/httpserver/watch.go
@@ -42,11 +42,8 @@
 	_, err := c.in.Peek(1)
 	if err == nil {
 		c.earlyBytes.Store(true)
-		buf := copyBuffers.Get().(*[]byte)
-		defer copyBuffers.Put(buf)
-		for n, next := 0, discardBurst; err == nil; {
-			var k int
-			k, err = c.in.Read(*buf)
+		for n, next := 0, discardBurst; err == nil; _, err = c.in.Peek(1) {
+			k, _ := c.in.Discard(c.in.Buffered()) // needs no buffer of its own
 			if n += k; n >= next {
 				next = n + discardStep
 				time.Sleep(discardPause)
--- a/internal/pool/abnormal_end_test.go
+++ b/internal/pool/abnormal_end_test.go
@@ -30,7 +30,7 @@
 	}))
 	defer server.Close()
 	conns := upstream.New(upstream.Config{DialTimeout: time.Second, IdleTimeout: time.Second})
-	conns.SetLimits(8, 1<<20)
+	conns.SetLimits(upstream.Limits{MaxConns: 8, LargeResponseBytes: 1 << 20})
 	defer conns.Close()
 	p, err := New(Config{
 		Name: "p",
--- a/internal/pool/upload.go
+++ b/internal/pool/upload.go
@@ -49,6 +49,8 @@
 		p.stats.Failed++
 		response.Outcome = Failed
 	}
-	p.deliver(r, response)
+	if !p.deliver(r, response) && up != nil {
+		up.Release()
+	}
 	p.finishIfDone(r)
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -27,20 +27,6 @@
 )
 
 const (
-	// heapFraction is the part of the memory limit given to the Go runtime. The rest covers
-	// kernel socket buffers, which count towards the limit, and overshoot of the runtime.
-	heapFraction = 0.7
-
-	// The memory limit divided by readAheadDivisor bounds the data read ahead of large
-	// responses.
-	readAheadDivisor = 5
-	// The memory limit divided by longBodyDivisor bounds the request bodies over 64 KiB.
-	longBodyDivisor = 8
-	// The memory limit divided by bodyDivisor bounds all other request bodies. The rest of the
-	// limit is for headers, responses, stacks and garbage. With a limit of 32 MB there is room
-	// for 64 of the longest of these bodies.
-	bodyDivisor = 8
-
 	// connReuseDelay is how long an endpoint connection stays unused after a response, so that an
 	// unsolicited second response is detected before the next request is sent on it.
 	connReuseDelay = 5 * time.Millisecond
@@ -156,11 +142,13 @@
 	}
 	defer s.listener.Close()
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
+	initial := divideLimits(s.limits, s.processes())
 	s.upstream = upstream.New(upstream.Config{
 		DialTimeout:        cfg.DialTimeout,
 		IdleTimeout:        cfg.Balance.IdleConnTimeout,
 		ReuseDelay:         connReuseDelay,
-		LargeResponseBytes: s.memoryBytes() / readAheadDivisor,
+		LargeResponseBytes: initial.upstream.LargeResponseBytes,
+		BufferBytes:        initial.upstream.BufferBytes,
 		MaxStreamBytes:     httpserver.PlatformMaxBytes,
 	})
 	defer s.upstream.Close()
@@ -175,7 +163,7 @@
 		Zones:   cfg.Zones,
 		Known:   cfg.Known,
 		Source:  source,
-		Limits:  bodyLimits(s.memoryBytes()),
+		Limits:  initial.bodies,
 		Ages:    ages,
 	}, s.upstream)
 	if err != nil {
@@ -247,27 +235,26 @@
 	return dir
 }
 
-func (s *Sidecar) memoryBytes() int64 { return int64(s.limits.MemoryMB) << 20 }
-
 // applyLimits applies the configured limits to this process: all of them, or half while
 // another process of the same sidecar is running, because both share them.
 func (s *Sidecar) applyLimits() {
 	s.mu.Lock()
 	defer s.mu.Unlock() // held throughout, so that concurrent calls end with the latest state
-	processes := int64(1)
-	if s.previous != nil || s.successor != nil {
-		processes = 2
-	}
-	memory, conns := s.memoryBytes()/processes, max(2, s.limits.Sockets/int(processes)-config.ReservedDescriptors)
-	s.runtimeLimit = int64(float64(memory) * heapFraction)
-	debug.SetMemoryLimit(s.runtimeLimit)
-	s.upstream.SetLimits(conns/2, memory/readAheadDivisor)
-	s.server.SetMaxConns(conns / 2)
-	s.pool.SetLimits(bodyLimits(memory))
+	limits := divideLimits(s.limits, s.processes())
+	s.runtimeLimit = limits.runtimeBytes
+	debug.SetMemoryLimit(limits.runtimeBytes)
+	s.upstream.SetLimits(limits.upstream)
+	s.server.SetMaxConns(limits.callerConns)
+	s.pool.SetLimits(limits.bodies)
 }
 
-func bodyLimits(memory int64) pool.Limits {
-	return pool.Limits{BodyBytes: memory / bodyDivisor, LongBytes: memory / longBodyDivisor}
+// processes returns how many processes share the limits. The caller holds the mutex while
+// serving.
+func (s *Sidecar) processes() int {
+	if s.previous != nil || s.successor != nil {
+		return 2
+	}
+	return 1
 }
 
 // handoverSnapshot returns the state to send to the successor.
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -53,13 +53,20 @@
 	LocalDelay time.Duration
 
 	memory bytebudget.Reservation
+	buffer bodyBuffer // holds Body if its length was unknown
+}
+
+// ReleaseBody frees the memory of Body, which must not be used any more.
+func (r *Response) ReleaseBody() {
+	r.Body = nil
+	r.buffer.release()
+	r.memory.Release()
 }
 
 // Release frees the memory of the response. If the rest of the body was still being received,
 // its connection is closed.
 func (r *Response) Release() {
-	r.Body = nil
-	r.memory.Release()
+	r.ReleaseBody()
 	if r.Remaining != nil {
 		r.Remaining.close()
 		r.Remaining = nil
@@ -414,18 +421,19 @@
 	if err != nil {
 		return nil, false, failureResult(err)
 	}
-	if c.target.pool.cfg.MaxStreamBytes > 0 && c.target.pool.isSuccess(h.Status) && !hasNoBody(h, r.Method) {
-		if resp, reusable, err := c.startStream(h); resp != nil || err != nil {
-			return resp, reusable, streamResult(err)
-		}
+	success := c.target.pool.isSuccess(h.Status)
+	if c.target.pool.cfg.MaxStreamBytes > 0 && success && !hasNoBody(h, r.Method) {
+		resp, reusable, err := c.receiveBody(h)
+		return resp, reusable, streamResult(err)
+	}
+	if !success && !c.target.pool.cfg.PassThroughStatus {
+		return nil, c.discardBody(h, r.Method) && !h.Close && c.reader.Buffered() == 0, failedStatusResult(h)
 	}
 	body, memory, err := c.readBody(h, r.Method)
 	reusable = err == nil && !h.Close && c.reader.Buffered() == 0
 	switch {
-	case isRejection(h):
-		result = balance.Overloaded
-	case !c.target.pool.isSuccess(h.Status):
-		result = balance.Error
+	case !success:
+		result = failedStatusResult(h)
 	case err != nil:
 		reusable, result = false, failureResult(err)
 	}
@@ -436,6 +444,15 @@
 	return &Response{Status: h.Status, Fields: h.Fields, Body: body, memory: memory}, reusable, result
 }
 
+// failedStatusResult returns the result of an attempt whose response has a status that is not a
+// success.
+func failedStatusResult(h *http1.Head) balance.Result {
+	if isRejection(h) {
+		return balance.Overloaded
+	}
+	return balance.Error
+}
+
 // isSuccess reports whether a response with this status counts as a success.
 func (p *Pool) isSuccess(status int) bool {
 	return status == http.StatusOK || p.cfg.PassThroughStatus && status < 500
@@ -464,17 +481,61 @@
 				return nil, memory, invalidResponseError{fmt.Errorf("response memory exhausted: cannot buffer a body of %d bytes", h.Length)}
 			}
 		}
-		data = make([]byte, h.Length)
-		if _, err := io.ReadFull(c.reader, data); err != nil {
-			return nil, memory, midResponseError(err)
-		}
-		return data, memory, nil
+		data, err = c.readSizedBody(h.Length)
+		return data, memory, err
 	}
 	// Without a length and without chunked coding the body ends with the connection (RFC 9112,
 	// section 6.3), with or without "Connection: close". A reset is an error.
 	return c.readUnsizedBody(h.Chunked, maxBytes)
 }
 
+// readSizedBody reads a body of n bytes.
+func (c *conn) readSizedBody(n int64) ([]byte, error) {
+	if n == 0 {
+		return nil, nil
+	}
+	data := make([]byte, n)
+	if _, err := io.ReadFull(c.reader, data); err != nil {
+		return nil, midResponseError(err)
+	}
+	return data, nil
+}
+
+// discardBufferBytes is the size of the buffer for a body that is not used.
+const discardBufferBytes = 1 << 10
+
+// discardBody reads a body that is not used, without holding it in memory. It reports whether the
+// body was complete and not too long.
+func (c *conn) discardBody(h *http1.Head, method string) bool {
+	if h.Length == 0 || hasNoBody(h, method) {
+		return true
+	}
+	maxBytes := c.target.pool.cfg.MaxResponseBytes
+	if h.Length > int64(maxBytes) {
+		return false
+	}
+	if h.Length > 0 {
+		_, err := c.reader.Discard(int(h.Length))
+		return err == nil
+	}
+	if !h.Chunked {
+		return false // the end of the body is the end of the connection
+	}
+	body := httputil.NewChunkedReader(c.reader)
+	buf := make([]byte, discardBufferBytes)
+	for received := 0; received <= maxBytes; {
+		n, err := body.Read(buf)
+		received += n
+		if err == io.EOF {
+			return http1.SkipTrailers(c.reader) == nil
+		}
+		if err != nil {
+			return false
+		}
+	}
+	return false
+}
+
 // readUnsizedBody reads a body whose length is known only at its end.
 func (c *conn) readUnsizedBody(chunked bool, maxBytes int) (data []byte, memory bytebudget.Reservation, err error) {
 	var body bytes.Buffer
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -326,14 +326,14 @@
 	if n := p.OpenConns(); n != 1 || conns() != 1 {
 		t.Fatalf("%d connections open", n)
 	}
-	p.SetLimits(0, 0)
+	p.SetLimits(Limits{})
 	if n := p.OpenConns(); n != 0 {
 		t.Errorf("%d connections open with a limit of 0", n)
 	}
 	if _, result := sendGet(p, testTimeout); result != balance.NotSent {
 		t.Errorf("result %v without a connection, want NotSent", result)
 	}
-	p.SetLimits(1, 0)
+	p.SetLimits(Limits{MaxConns: 1})
 	p.cfg.MaxResponseBytes = 1
 	if _, result := sendGet(p, testTimeout); result != balance.Error {
 		t.Errorf("result %v for a response over the maximum length, want Error", result)
--- a/internal/upstream/readahead.go
+++ b/internal/upstream/readahead.go
@@ -41,9 +41,21 @@
 func (p *chunkPool) trim() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	keep := len(p.free) - (len(p.free)+7)/8
-	clear(p.free[keep:])
-	p.free = p.free[:keep]
+	p.keepLocked(len(p.free) - (len(p.free)+7)/8)
+}
+
+// keep frees all but n unused chunks.
+func (p *chunkPool) keep(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keepLocked(n)
+}
+
+func (p *chunkPool) keepLocked(n int) {
+	if n < len(p.free) {
+		clear(p.free[n:])
+		p.free = p.free[:n]
+	}
 }
 
 // readAhead receives the rest of a response body into memory, so that a slow caller does not
@@ -58,6 +70,7 @@
 	changed     sync.Cond // signals data read, data consumed, or an end
 	aborted     bool
 	chunks      []*[]byte // the last one is being filled
+	spare       *[]byte   // the next chunk, if its memory is still reserved
 	readOffset  int       // consumed bytes of the first chunk
 	writeOffset int       // filled bytes of the last chunk
 	err         error     // why reading ended; io.EOF if the body is complete
@@ -99,10 +112,7 @@
 			if !a.waitForMemory() {
 				return
 			}
-			chunk, offset = a.stream.conn.target.pool.chunks.get(), 0
-			a.mu.Lock()
-			a.chunks, a.writeOffset = append(a.chunks, chunk), 0
-			a.mu.Unlock()
+			chunk, offset = a.addChunk(), 0
 		}
 		n, err := a.stream.readConn((*chunk)[offset:])
 		offset += n
@@ -130,28 +140,49 @@
 	return !a.aborted
 }
 
+// addChunk adds a chunk, for which memory has been reserved.
+func (a *readAhead) addChunk() *[]byte {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	chunk := a.spare
+	if a.spare = nil; chunk == nil {
+		chunk = a.stream.conn.target.pool.getChunk()
+	}
+	a.chunks, a.writeOffset = append(a.chunks, chunk), 0
+	return chunk
+}
+
+// freeFirstChunk frees the first chunk, which has been read. The caller holds the mutex.
+func (a *readAhead) freeFirstChunk() {
+	first := a.chunks[0]
+	a.chunks, a.readOffset = a.chunks[1:], 0
+	before := a.memory.Size()
+	a.memory.Shrink(max(before-chunkSize, minReadAheadChunks*chunkSize))
+	if a.memory.Size() == before && a.spare == nil {
+		a.spare = first
+		return
+	}
+	a.stream.conn.target.pool.putChunk(first)
+}
+
+// waitForData waits until data has been received or receiving has ended.
+func (a *readAhead) waitForData() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for len(a.received()) == 0 && a.err == nil {
+		a.changed.Wait()
+	}
+}
+
 // read copies received data for BodyStream.Read and waits if there is none.
 func (a *readAhead) read(b []byte) (int, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for {
-		if len(a.chunks) > 0 {
-			end := chunkSize
-			if len(a.chunks) == 1 {
-				end = a.writeOffset
-			}
-			if a.readOffset < end {
-				n := copy(b, (*a.chunks[0])[a.readOffset:end])
-				a.readOffset += n
-				return n, nil
-			}
-			if len(a.chunks) > 1 {
-				a.stream.conn.target.pool.chunks.put(a.chunks[0])
-				a.chunks, a.readOffset = a.chunks[1:], 0
-				a.memory.Shrink(max(a.memory.Size()-chunkSize, minReadAheadChunks*chunkSize))
-				a.changed.Broadcast()
-				continue
-			}
+		if data := a.received(); len(data) > 0 {
+			n := copy(b, data)
+			a.readOffset += n
+			return n, nil
 		}
 		if a.err != nil {
 			return 0, a.err
@@ -160,6 +191,22 @@
 	}
 }
 
+// received returns received data that has not been read, and frees chunks that have been. It is empty
+// if there is none. The caller holds the mutex.
+func (a *readAhead) received() []byte {
+	for len(a.chunks) > 1 {
+		if a.readOffset < chunkSize {
+			return (*a.chunks[0])[a.readOffset:]
+		}
+		a.freeFirstChunk()
+		a.changed.Broadcast()
+	}
+	if len(a.chunks) == 0 {
+		return nil
+	}
+	return (*a.chunks[0])[a.readOffset:a.writeOffset]
+}
+
 // close stops reading at once and frees the memory.
 func (a *readAhead) close() {
 	a.mu.Lock()
@@ -170,9 +217,12 @@
 	a.changed.Broadcast()
 	a.mu.Unlock()
 	<-a.done
+	a.memory.Release()
 	for _, b := range a.chunks {
-		a.stream.conn.target.pool.chunks.put(b)
+		a.stream.conn.target.pool.putChunk(b)
 	}
-	a.chunks = nil
-	a.memory.Release()
+	if a.spare != nil {
+		a.stream.conn.target.pool.putChunk(a.spare)
+	}
+	a.chunks, a.spare = nil, nil
 }
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -11,6 +11,7 @@
 
 	"gorselink/balance"
 	"gorselink/internal/http1"
+	"gorselink/internal/socketstate"
 )
 
 // streamStallTimeout bounds a pause inside a streamed response. It is long because a streamed
@@ -33,52 +34,88 @@
 	ahead     *readAhead
 }
 
-// startStream returns a response whose body is longer than SmallResponseBytes as a stream. If the
-// body is not longer, it returns nil without reading if the length is known, and the complete
-// response otherwise.
-func (c *conn) startStream(h *http1.Head) (resp *Response, reusable bool, err error) {
+// receiveBody returns the complete response if its body is no longer than SmallResponseBytes and
+// there is memory for it. Otherwise it returns the response with the rest of its body as a stream.
+func (c *conn) receiveBody(h *http1.Head) (resp *Response, reusable bool, err error) {
 	maxBytes := c.target.pool.cfg.MaxStreamBytes
 	if h.Length > maxBytes {
 		return nil, false, invalidResponseError{fmt.Errorf("response body too long: %d bytes, limit %d", h.Length, maxBytes)}
 	}
 	s := &BodyStream{Length: h.Length, conn: c, chunked: h.Chunked, reusable: !h.Close && (h.Chunked || h.Length >= 0)}
-	switch {
-	case h.Length > SmallResponseBytes:
-		s.reader, s.remaining = c.reader, h.Length
-		return &Response{Status: h.Status, Fields: h.Fields, Remaining: s}, false, nil
-	case h.Length >= 0:
-		return nil, false, nil
+	resp = &Response{Status: h.Status, Fields: h.Fields}
+	if h.Length < 0 {
+		return c.receiveUnsizedBody(h, resp, s)
+	}
+	if h.Length <= SmallResponseBytes {
+		if memory, ok := c.target.pool.reserveBuffer(h.Length); ok {
+			resp.memory = memory
+			if resp.Body, err = c.readSizedBody(h.Length); err != nil {
+				resp.Release()
+				return nil, false, err
+			}
+			return resp, s.reusable && c.reader.Buffered() == 0, nil
+		}
 	}
-	s.reader, s.remaining = c.reader, maxBytes
+	s.reader, s.remaining = c.reader, h.Length
+	resp.Remaining = s
+	return resp, false, nil
+}
+
+// receiveUnsizedBody is receiveBody for a body of unknown length. Most of them are short too.
+// Buffering them first keeps the request retryable until the body is complete.
+func (c *conn) receiveUnsizedBody(h *http1.Head, resp *Response, s *BodyStream) (_ *Response, reusable bool, err error) {
+	s.reader, s.remaining = c.reader, c.target.pool.cfg.MaxStreamBytes
 	if h.Chunked {
 		s.reader = httputil.NewChunkedReader(c.reader)
 	}
-	// Most bodies of unknown length are short too. Buffering them first keeps the request
-	// retryable until the body is complete.
-	body := make([]byte, 0, 4<<10)
-	for len(body) < SmallResponseBytes {
-		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
+	buffer := newBodyBuffer(c.target.pool)
+	for len(buffer.data) < SmallResponseBytes {
+		if len(buffer.data) == cap(buffer.data) && !buffer.grow() {
+			break
 		}
-		n, err := s.reader.Read(body[len(body):min(cap(body), SmallResponseBytes)])
-		body = body[:len(body)+n]
+		n, err := s.reader.Read(buffer.data[len(buffer.data):cap(buffer.data)])
+		buffer.data = buffer.data[:len(buffer.data)+n]
 		if err == io.EOF && h.Chunked {
 			if err = http1.SkipTrailers(c.reader); err == nil {
 				err = io.EOF
 			}
 		}
 		if err == io.EOF {
-			return &Response{Status: h.Status, Fields: h.Fields, Body: body}, s.reusable && c.reader.Buffered() == 0, nil
+			resp.Body, resp.buffer = buffer.data, buffer
+			return resp, s.reusable && c.reader.Buffered() == 0, nil
 		}
 		if err != nil {
+			buffer.release()
 			return nil, false, unsizedBodyError(err, h.Chunked)
 		}
 	}
-	s.remaining -= int64(len(body))
-	return &Response{Status: h.Status, Fields: h.Fields, Body: body, Remaining: s}, false, nil
+	s.remaining -= int64(len(buffer.data))
+	resp.Body, resp.buffer, resp.Remaining = buffer.data, buffer, s
+	return resp, false, nil
+}
+
+// WaitForData waits until more of the body or its end has arrived, or until receiving has failed, which
+// is an error here or of the next Read. It needs no buffer.
+func (s *BodyStream) WaitForData() error {
+	if s.ahead != nil {
+		s.ahead.waitForData()
+		return nil
+	}
+	if s.complete || s.remaining == 0 {
+		return nil
+	}
+	if s.conn.reader.Buffered() > 0 {
+		return nil
+	}
+	s.conn.SetReadDeadline(time.Now().Add(streamStallTimeout))
+	return socketstate.WaitReadable(s.conn.Conn)
 }
 
-// streamResult returns the result of an attempt for the error of startStream.
+// CopyBuffer returns a buffer for forwarding the body, which the caller must release. To hold it for a
+// short time only, call WaitForData first.
+func (s *BodyStream) CopyBuffer() *CopyBuffer { return s.conn.target.pool.newCopyBuffer() }
+
+// streamResult returns the result of an attempt for the error of receiveBody.
 func streamResult(err error) balance.Result {
 	if err != nil {
 		return failureResult(err)
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -87,8 +87,8 @@
 
 // upload sends the head and then the body, piece by piece as it is received.
 func (c *conn) upload(call *Call, head []byte, u *Upload) error {
-	buf := c.target.pool.chunks.get()
-	defer c.target.pool.chunks.put(buf)
+	buffer := c.target.pool.newCopyBuffer()
+	defer buffer.Release()
 	chunked := u.Length < 0
 	write := func(prefix, data []byte) error {
 		if call.Ended() {
@@ -110,13 +110,13 @@
 		return net.ErrClosed
 	}
 	for {
-		n, err := u.Remaining.Read(*buf)
+		n, err := u.Remaining.Read(buffer.Bytes())
 		if u.isAborted() {
 			u.finish(errCallerGone)
 			return errBodyIncomplete
 		}
 		if n > 0 {
-			if err := write(nil, (*buf)[:n]); err != nil {
+			if err := write(nil, buffer.Bytes()[:n]); err != nil {
 				return err
 			}
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -6,6 +6,7 @@
 package upstream
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -23,6 +24,7 @@
 	IdleTimeout        time.Duration // after which endpoints close an idle connection
 	MaxConns           int           // to all endpoints together
 	LargeResponseBytes int64         // memory for buffered responses over SmallResponseBytes, all together
+	BufferBytes        int64         // see Limits
 
 	// ReuseDelay is the time between a response and the next request on the same connection; 0
 	// for none. An endpoint may send a duplicate response some milliseconds late, which would
@@ -48,6 +50,17 @@
 	Dialer Dialer // nil for a net.Dialer with DialTimeout
 }
 
+// Limits are the limits of a Pool that can change while it is in use.
+type Limits struct {
+	MaxConns           int   // connections to all endpoints together
+	LargeResponseBytes int64 // memory for responses over SmallResponseBytes
+
+	// BufferBytes is the memory for short responses and for forwarding bodies, if MaxStreamBytes
+	// is set; 0 for no limit. Without available memory a short response is streamed too, and
+	// bodies are forwarded in smaller pieces.
+	BufferBytes int64
+}
+
 // Costs at an endpoint, in core-seconds.
 const (
 	handshakeCost = 0.0024 // of a new connection, which costs 0.0018 to 0.003
@@ -91,7 +104,8 @@
 	cfg            Config
 	now            func() time.Time // clock for the budgets sent to endpoints
 	responseMemory bytebudget.Budget
-	chunks         chunkPool // for read-ahead and uploads
+	bufferMemory   bytebudget.Budget // for short responses, and for forwarding bodies
+	chunks         chunkPool
 
 	reuseWaits atomic.Int64 // waits for a reuse delay
 	mu         sync.Mutex
@@ -127,22 +141,30 @@
 		cfg.ResponseStallTimeout = defaultStallTimeout
 	}
 	p := &Pool{cfg: cfg, now: time.Now, targets: map[string]*target{}}
-	p.responseMemory.SetTotal(cfg.LargeResponseBytes)
+	p.setMemory(cfg.LargeResponseBytes, cfg.BufferBytes)
 	return p
 }
 
 // SetLimits changes the limits of the Pool. Surplus idle connections are closed at once, and
 // surplus connections in use when their attempts end.
-func (p *Pool) SetLimits(maxConns int, largeBytes int64) {
-	p.responseMemory.SetTotal(largeBytes)
+func (p *Pool) SetLimits(limits Limits) {
+	p.setMemory(limits.LargeResponseBytes, limits.BufferBytes)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cfg.MaxConns = maxConns
-	for p.open > maxConns && p.idle.Len() > 0 {
+	p.cfg.MaxConns = limits.MaxConns
+	for p.open > limits.MaxConns && p.idle.Len() > 0 {
 		p.closeIdleConn(p.idle.Front().Value)
 	}
 }
 
+// unlimitedBytes is a budget that is never used up.
+const unlimitedBytes = 1 << 50
+
+func (p *Pool) setMemory(largeResponseBytes, bufferBytes int64) {
+	p.responseMemory.SetTotal(largeResponseBytes)
+	p.bufferMemory.SetTotal(cmp.Or(bufferBytes, unlimitedBytes))
+}
+
 // StreamingEnabled reports whether long responses, and request bodies that cannot be buffered,
 // are forwarded while they are received.
 func (p *Pool) StreamingEnabled() bool { return p.cfg.MaxStreamBytes > 0 }
@@ -216,6 +238,9 @@
 // LongResponseMemory returns the memory reserved for responses over SmallResponseBytes, in bytes.
 func (p *Pool) LongResponseMemory() int64 { return p.responseMemory.InUse() }
 
+// BufferMemory returns the memory reserved for short responses and for forwarding bodies, in bytes.
+func (p *Pool) BufferMemory() int64 { return p.bufferMemory.InUse() }
+
 // ConnStats returns the number of endpoints with open connections and the largest number of
 // connections to one of them.
 func (p *Pool) ConnStats() (endpoints, most int) {
