lease run: a lease is released when nothing of the task's process group is left

Signals went to the process group of the program, but only its first process was awaited. A shell ends by SIGTERM at once, the program that it runs finishes its work or ignores the signal; the lease was released, and the kill before the end of the claim left out.

internal/processgroup tells when no process of a group is left. The first process is not reaped until then, so that its id stays taken and signals to the group reach no other process. lease run awaits the group, and kills what is left of it before the claim ends. If the first process ends by itself, the others get SIGTERM, are killed a grace period later, and the lease is kept meanwhile.

--- a/cmd/gorselink/lease.go
+++ b/cmd/gorselink/lease.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"os"
 	"os/exec"
-	"runtime"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -21,6 +20,7 @@
 	"gorselink/internal/config"
 	"gorselink/internal/durable"
 	"gorselink/internal/leaseclient"
+	"gorselink/internal/processgroup"
 	"gorselink/lease"
 )
 
@@ -155,36 +155,43 @@
 	cmd := exec.Command(c.Cmd[0], c.Cmd[1:]...)
 	cmd.Stdin, cmd.Stdout, cmd.Stderr = os.Stdin, env.stdout, env.stderr
 	cmd.Env = append(os.Environ(), "LEASE_NAME="+c.Name, "LEASE_EPOCH="+strconv.FormatUint(uint64(g.Epoch), 10), "LEASE_VALUE="+string(g.Value))
-	// If this process exits, the program must not continue without a claim.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-	ended := make(chan error, 1)
-	started := make(chan error, 1)
-	go startAndWait(cmd, started, ended)
-	if err := <-started; err != nil {
+	group, err := processgroup.Start(cmd)
+	if err != nil {
 		return fmt.Errorf("gorselink: lease run: cannot start the program: %w", err)
 	}
-	select {
-	case err := <-ended:
-		return programError(err)
-	case <-ctx.Done():
-	}
-	syscall.Kill(-cmd.Process.Pid, syscall.SIGTERM)
 	// The program is killed a tenth of the grace period before the claim ends. The timer uses
 	// the end of the claim, because the last renewal may be long past.
-	t := time.NewTimer(max(0, g.Remaining()-c.Grace/10))
-	defer t.Stop()
+	killDelay := func() time.Duration { return max(0, g.Remaining()-c.Grace/10) }
 	select {
-	case <-ended:
-	case <-t.C:
-		syscall.Kill(-cmd.Process.Pid, syscall.SIGKILL)
-		<-ended
+	case <-group.Ended():
+		return programError(group.Err())
+	case <-group.LeaderEnded():
+		c.stopGroup(env, group, min(c.Grace, killDelay()))
+		return programError(group.Err())
+	case <-ctx.Done():
 	}
+	c.stopGroup(env, group, killDelay())
 	if env.ctx.Err() != nil {
 		return nil // this process has received SIGTERM or an interrupt
 	}
 	return errLeaseLost
 }
 
+// stopGroup sends SIGTERM to all processes of the program, and SIGKILL to those that are left after
+// killDelay. It returns when none is left: until then the lease must not be released.
+func (c *leaseRun) stopGroup(env *environment, group *processgroup.Group, killDelay time.Duration) {
+	group.Signal(syscall.SIGTERM)
+	kill := time.NewTimer(killDelay)
+	defer kill.Stop()
+	select {
+	case <-group.Ended():
+	case <-kill.C:
+		fmt.Fprintf(env.stderr, "gorselink: lease %s: killing what is left of the program\n", c.Name)
+		group.Signal(syscall.SIGKILL)
+		<-group.Ended()
+	}
+}
+
 // programError returns an error that carries the program's exit code.
 func programError(err error) error {
 	var exit *exec.ExitError
@@ -305,14 +312,3 @@
 	}
 	return tw.Flush()
 }
-
-// startAndWait starts a program and waits for it on a locked OS thread, because Pdeathsig
-// kills the program when the thread that started it exits.
-func startAndWait(cmd *exec.Cmd, started, ended chan<- error) {
-	runtime.LockOSThread()
-	err := cmd.Start()
-	started <- err
-	if err == nil {
-		ended <- cmd.Wait()
-	}
-}
