pool: a zone keeps its own number over new settings

The pool numbered zones by the settings of the start and gave all others one number, so that the Balancer took two added zones for one and repeated the request in the other. The own zone of new settings was their index, whatever the order of zones.

Each zone now gets a number when it is first seen, in settings or lists, and keeps it; the own zone of new settings is found by name. What else of new settings did not reach the part that decides by it: the order of endpoints by zone was sorted by the old zone and price until the next list, and the timeouts of dials and idle connections stayed.

Not checked: a change between pushed lists and lists that are asked for.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -286,6 +286,7 @@
 		return err
 	}
 	b.cfg, b.admission.quotas = cfg, nil
+	b.sortReady()
 	for _, perSecond := range cfg.TenantQuotas {
 		b.admission.quotas = append(b.admission.quotas, quota{perSecond: perSecond / float64(cfg.Instances)})
 	}
@@ -369,6 +370,20 @@
 		b.updateEndpoint(now, entry)
 	}
 	b.freeGoneEndpoints(now)
+	b.sortReady()
+	if b.subsetLength == 0 {
+		b.subsetLength = len(b.ready)
+	}
+	if kind != Cached {
+		b.watchFailures = 0
+	} else if b.cfg.PullDiscovery {
+		b.scheduleWatch()
+	}
+	b.dispatchHeld(now)
+}
+
+// sortReady collects the ready endpoints by hash, with the own zone first if other zones have a price.
+func (b *Balancer) sortReady() {
 	b.ready, b.ownZoneReady = b.ready[:0], 0
 	for i := range b.endpoints {
 		if b.endpoints[i].State == Ready {
@@ -378,19 +393,9 @@
 			}
 		}
 	}
-	if b.subsetLength == 0 {
-		b.subsetLength = len(b.ready)
-	}
-	// By hash, with the own zone first if other zones have a price.
 	slices.SortFunc(b.ready, func(i, k int) int {
 		return cmp.Or(cmp.Compare(b.zoneFactor(i), b.zoneFactor(k)), cmp.Compare(b.endpoints[i].hash, b.endpoints[k].hash))
 	})
-	if kind != Cached {
-		b.watchFailures = 0
-	} else if b.cfg.PullDiscovery {
-		b.scheduleWatch()
-	}
-	b.dispatchHeld(now)
 }
 
 // zoneFactor returns the factor by which the mean of an endpoint in another zone is
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -73,7 +73,7 @@
 	departed     map[string]departedIncarnation // of endpoints that recently left the list
 	lastSync     time.Duration                  // when the list was last known to be current, or never
 	undated      bool                           // the current list has no start times, see discovery.List.Undated
-	zones        map[string]int
+	zones        zoneNumbers
 	watchWanted  bool      // the Balancer has requested a watch before Run set the first source
 	sources      []*source // the source in use, followed by its replacement while that has no list
 	timers       timerQueue
@@ -166,10 +166,7 @@
 		incarnations: map[string]incarnation{},
 		departed:     map[string]departedIncarnation{},
 		lastSync:     never,
-		zones:        cfg.Zones,
-	}
-	if p.zones == nil {
-		p.zones = map[string]int{cfg.OwnZone: 0}
+		zones:        newZoneNumbers(cfg.Zones, cfg.OwnZone, cfg.Balance.Zone),
 	}
 	p.startWall = cfg.Clock.Wall()
 	p.SetLimits(cfg.Limits)
@@ -229,10 +226,12 @@
 }
 
 // Reconfigure changes the settings of the Balancer, or none after an error. It does not change
-// the classes, which ClassNumber adds.
-func (p *Pool) Reconfigure(cfg balance.Config) error {
+// the classes, which ClassNumber adds. zones are the zones of the new settings by name; cfg.Zone is
+// the index of one of them.
+func (p *Pool) Reconfigure(cfg balance.Config, zones map[string]int) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	cfg.Zone = p.zones.reconfigure(zones, cfg.Zone)
 	if err := p.balancer.Reconfigure(cfg); err != nil {
 		return fmt.Errorf("pool %s: %w", p.cfg.Name, err)
 	}
--- a/internal/pool/source.go
+++ b/internal/pool/source.go
@@ -278,7 +278,7 @@
 // name, which is the same in all sidecars, so that their Balancers agree on the hash ring.
 func (p *Pool) balancerEndpoint(listed *discovery.Endpoint) balance.Endpoint {
 	e := p.applyDisabled(*listed)
-	b := balance.Endpoint{Addr: e.Name, Zone: p.zoneNumber(e.Zone), Cell: e.Group, Since: p.effectiveStart(e.Name)}
+	b := balance.Endpoint{Addr: e.Name, Zone: p.zones.number(e.Zone), Cell: e.Group, Since: p.effectiveStart(e.Name)}
 	switch e.Status {
 	case discovery.InService:
 		b.State = balance.Ready
@@ -287,19 +287,3 @@
 	}
 	return b
 }
-
-// maxZones bounds the number of distinct zones if the configuration lists none. All further
-// zones share one number.
-const maxZones = 64
-
-// zoneNumber returns the number of a zone. The caller holds the mutex.
-func (p *Pool) zoneNumber(name string) int {
-	i, ok := p.zones[name]
-	if !ok {
-		i = len(p.zones) // the next free number, which all zones without one share
-		if p.cfg.Zones == nil && i < maxZones {
-			p.zones[name] = i
-		}
-	}
-	return i
-}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -404,9 +404,10 @@
 	if err != nil {
 		return err
 	}
-	if err := s.pool.Reconfigure(cfg.Balance); err != nil {
+	if err := s.pool.Reconfigure(cfg.Balance, cfg.Zones); err != nil {
 		return err
 	}
+	s.upstream.SetTimeouts(cfg.DialTimeout, cfg.Balance.IdleConnTimeout)
 	s.router.SetConfig(routerConfig)
 	s.mu.Lock()
 	s.cfg, s.shortestMaxDeadline = cfg, min(s.shortestMaxDeadline, cfg.LongestDeadline())
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -202,7 +202,8 @@
 // dial opens a connection to t, which has already been counted as open.
 func (p *Pool) dial(ctx context.Context, t *target, deadline time.Time) (*conn, error) {
 	// TCP keep-alive is not needed: connections are idle for seconds at most.
-	var dialer Dialer = &net.Dialer{Timeout: p.cfg.DialTimeout, Deadline: deadline, KeepAlive: -1}
+	timeout, _ := p.Timeouts()
+	var dialer Dialer = &net.Dialer{Timeout: timeout, Deadline: deadline, KeepAlive: -1}
 	if p.cfg.Dialer != nil {
 		dialer = p.cfg.Dialer
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -157,6 +157,20 @@
 	}
 }
 
+// SetTimeouts changes Config.DialTimeout and Config.IdleTimeout.
+func (p *Pool) SetTimeouts(dial, idle time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cfg.DialTimeout, p.cfg.IdleTimeout = dial, idle
+}
+
+// Timeouts returns the current Config.DialTimeout and Config.IdleTimeout.
+func (p *Pool) Timeouts() (dial, idle time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cfg.DialTimeout, p.cfg.IdleTimeout
+}
+
 // unlimitedBytes is a budget that is never used up.
 const unlimitedBytes = 1 << 50
 
