socketstate: in the test of WaitWritable the peer reads all that was sent

TestWaitWritable/peer_reads failed once in a run of the whole suite: the wait did not end within 10 s. It is a fault of the test. The peer read 1 MiB and no more, but the send buffer grows by itself to megabytes, and a socket counts as writable only once a third of it is free.

The check, its bound and the other cases are as before.

--- a/internal/socketstate/wait_test.go
+++ b/internal/socketstate/wait_test.go
@@ -15,7 +15,7 @@
 		free      func(conn, peer net.Conn)
 		wantError error
 	}{
-		"peer reads":  {func(_, peer net.Conn) { io.CopyN(io.Discard, peer, 1<<20) }, nil},
+		"peer reads":  {func(_, peer net.Conn) { go io.Copy(io.Discard, peer) }, nil},
 		"peer closes": {func(_, peer net.Conn) { peer.Close() }, nil},
 		"deadline":    {func(conn, _ net.Conn) { conn.SetWriteDeadline(time.Unix(1, 0)) }, os.ErrDeadlineExceeded},
 	} {
