--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64
+//go:build linux
 
 package sidecar
 
--- a/internal/sidecar/syscall_filter_test.go
+++ b/internal/sidecar/syscall_filter_test.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64
+//go:build linux
 
 package sidecar
 
@@ -46,6 +46,11 @@
 	os.Exit(m.Run())
 }
 
+// forbiddenCalls are the system calls that fail with ENOSYS on every architecture, in addition to
+// processCreationCalls.
+var forbiddenCalls = []uint32{unix.SYS_EXECVE, unix.SYS_EXECVEAT, unix.SYS_SPLICE, unix.SYS_TEE,
+	unix.SYS_SENDFILE, unix.SYS_IO_URING_SETUP, unix.SYS_IO_URING_ENTER, unix.SYS_IO_URING_REGISTER}
+
 // installSyscallFilter makes system calls that some platforms forbid fail with ENOSYS in all
 // threads of this process: fork and exec, io_uring, splice, sendfile, and non-IPv4 sockets.
 func installSyscallFilter() error {
@@ -58,10 +63,14 @@
 		allow      = 0x7fff0000 // SECCOMP_RET_ALLOW
 		failENOSYS = 0x00050000 | uint32(unix.ENOSYS)
 	)
-	forbiddenCalls := []uint32{unix.SYS_FORK, unix.SYS_VFORK, unix.SYS_EXECVE, unix.SYS_EXECVEAT, unix.SYS_SPLICE, unix.SYS_TEE,
-		unix.SYS_SENDFILE, unix.SYS_IO_URING_SETUP, unix.SYS_IO_URING_ENTER, unix.SYS_IO_URING_REGISTER}
-	prog := []unix.SockFilter{{Code: load, K: 0}}
-	for _, nr := range forbiddenCalls {
+	// Call numbers hold for one architecture.
+	prog := []unix.SockFilter{
+		{Code: load, K: 4}, // the architecture of the call
+		{Code: equal, K: auditArch, Jt: 1},
+		{Code: ret, K: failENOSYS},
+		{Code: load, K: 0}, // the number of the call
+	}
+	for _, nr := range append(processCreationCalls, forbiddenCalls...) {
 		prog = append(prog, unix.SockFilter{Code: equal, K: nr, Jf: 1}, unix.SockFilter{Code: ret, K: failENOSYS})
 	}
 	prog = append(prog,
