--- /dev/null
+++ b/internal/sidecar/slow_response_test.go
@@ -0,0 +1,235 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gorselink/internal/acceptloop"
+	"gorselink/internal/discovery"
+	"gorselink/internal/fakeserver"
+)
+
+const (
+	// finalResponseSlack is how long after its budget a request may get its final response.
+	finalResponseSlack = 550 * time.Millisecond
+	// earlySlack is how long before the end of its budget a request may fail although its endpoint
+	// has not.
+	earlySlack = 100 * time.Millisecond
+	// slowEndpointHang ends the responses of endpoints that hang.
+	slowEndpointHang = 8 * time.Second
+)
+
+// responseFraming is how the end of a response is marked.
+type responseFraming string
+
+const (
+	byLength responseFraming = "length"
+	byChunks responseFraming = "chunked"
+	byClose  responseFraming = "close"
+)
+
+func (f responseFraming) head(size int) string {
+	switch f {
+	case byLength:
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size)
+	case byChunks:
+		return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	}
+	return "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+}
+
+// writePiece writes a part of the body. An empty part ends it.
+func (f responseFraming) writePiece(w io.Writer, piece []byte) error {
+	if f != byChunks {
+		_, err := w.Write(piece)
+		return err
+	}
+	_, err := fmt.Fprintf(w, "%x\r\n%s\r\n", len(piece), piece)
+	return err
+}
+
+// responsePace is when an endpoint writes the parts of a body after the head.
+type responsePace struct {
+	silence time.Duration // before the first part
+	parts   int
+	pause   time.Duration // between parts
+	hang    bool          // after the first part
+}
+
+var responsePaces = map[string]responsePace{
+	"lateBody": {silence: 800 * time.Millisecond, parts: 6, pause: 30 * time.Millisecond},
+	"lumps":    {parts: 4, pause: 620 * time.Millisecond},
+	"steady":   {parts: 40, pause: 45 * time.Millisecond},
+	"hang":     {parts: 3, hang: true},
+}
+
+// slowResponseCase is one request of TestSlowResponses.
+type slowResponseCase struct {
+	class   string
+	framing responseFraming
+	size    int // of the body
+	pace    string
+	budget  time.Duration
+	// whole is set if the whole response has to arrive. Otherwise the request fails at the end of
+	// its budget.
+	whole bool
+}
+
+func (c *slowResponseCase) path() string {
+	return fmt.Sprintf("/%s/%s/%d/%s", c.class, c.framing, c.size, c.pace)
+}
+
+func slowResponseCases() (all []slowResponseCase) {
+	const long, short = 3 * time.Second, 800 * time.Millisecond
+	for _, class := range []string{"view", "pay"} {
+		for _, framing := range []responseFraming{byLength, byChunks, byClose} {
+			for _, size := range []int{2_000, 50_000, 150_000, 600_000} {
+				all = append(all,
+					slowResponseCase{class, framing, size, "lateBody", long, true},
+					slowResponseCase{class, framing, size, "lumps", long, true},
+					slowResponseCase{class, framing, size, "steady", long, true})
+			}
+			// The first bytes of these are in time, and the endpoint goes on.
+			for _, pace := range []string{"lateBody", "lumps", "steady"} {
+				all = append(all, slowResponseCase{class, framing, 150_000, pace, short, true})
+			}
+			all = append(all, slowResponseCase{class, framing, 2_000, "hang", 1500 * time.Millisecond, false})
+		}
+	}
+	return all
+}
+
+// serveSlowly writes the response that the path of the request asks for.
+func serveSlowly(conn net.Conn, path string) error {
+	fields := strings.Split(strings.TrimPrefix(path, "/"), "/")
+	framing, pace := responseFraming(fields[1]), responsePaces[fields[3]]
+	size, err := strconv.Atoi(fields[2])
+	if err != nil {
+		return err
+	}
+	io.WriteString(conn, framing.head(size))
+	time.Sleep(pace.silence)
+	body := slowBody(size)
+	for i := range pace.parts {
+		if i > 0 {
+			time.Sleep(pace.pause)
+		}
+		if err := framing.writePiece(conn, body[i*size/pace.parts:(i+1)*size/pace.parts]); err != nil {
+			return err
+		}
+		if pace.hang {
+			time.Sleep(slowEndpointHang)
+			return errors.New("the endpoint has hung")
+		}
+	}
+	if framing == byClose {
+		return io.EOF
+	}
+	if framing == byChunks {
+		return framing.writePiece(conn, nil)
+	}
+	return nil
+}
+
+func slowBody(size int) []byte { return bytes.Repeat([]byte("0123456789"), size/10) }
+
+// newSlowEndpoint starts an endpoint whose responses are those of serveSlowly.
+func newSlowEndpoint(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go acceptloop.Serve(l, func(conn net.Conn) {
+		go func() {
+			defer conn.Close()
+			in := bufio.NewReader(conn)
+			for {
+				r, err := http.ReadRequest(in)
+				if err != nil || serveSlowly(conn, r.URL.Path) != nil {
+					return
+				}
+			}
+		}()
+	})
+	return l.Addr().String()
+}
+
+// send sends the request and checks its response.
+func (c *slowResponseCase) send(listen, id string) error {
+	conn, err := net.Dial("tcp", listen)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	method := http.MethodGet
+	if c.class == "pay" {
+		method = http.MethodPost
+	}
+	conn.SetDeadline(time.Now().Add(testTimeout))
+	start := time.Now()
+	fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: x\r\nX-Call-Id: %s\r\nX-Budget-Ms: %d\r\nContent-Length: 0\r\n\r\n", method, c.path(), id, c.budget.Milliseconds())
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return err
+	}
+	firstByte := time.Since(start)
+	body, err := io.ReadAll(resp.Body)
+	took := time.Since(start)
+	whole := resp.StatusCode == http.StatusOK && err == nil
+	switch {
+	case whole != c.whole:
+		return fmt.Errorf("status %d after %v, %d of %d bytes after %v, %v; want the whole body: %t", resp.StatusCode, firstByte, len(body), c.size, took, err, c.whole)
+	case !whole && (took < c.budget-earlySlack || took > c.budget+finalResponseSlack):
+		return fmt.Errorf("status %d, %v after %v, want about %v", resp.StatusCode, err, took, c.budget)
+	case whole && !bytes.Equal(body, slowBody(c.size)):
+		return errors.New("the body differs")
+	case whole && firstByte > c.budget+finalResponseSlack:
+		return fmt.Errorf("the first byte came after %v, want %v at most", firstByte, c.budget)
+	}
+	return nil
+}
+
+// A response that an endpoint writes slowly or with pauses is not cut off, whatever its framing and
+// length and the class of its request, and a request whose endpoint hangs inside the response does not
+// fail before the end of its budget.
+func TestSlowResponses(t *testing.T) {
+	var list []fakeserver.Entry
+	for i := range 12 {
+		list = append(list, fakeserver.Entry{Name: fmt.Sprintf("s-%d", i), Address: newSlowEndpoint(t), Zone: "a", Status: string(discovery.InService)})
+	}
+	agent, err := fakeserver.StartAgent(list...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(agent.Close)
+	listen, path := isolatedAddr(t), filepath.Join(t.TempDir(), "config.json")
+	writeFile(t, path, strings.NewReplacer(
+		`"sockets":256`, `"sockets":1024`,
+		`"TryLimit":3`, `"TryLimit":3,"MayDuplicate":true`,
+		`"RampTimeS":5`, `"RampTimeS":0`,
+		`"DeadlineS":2,"Semantics":"free","Worth":1}`, `"DeadlineS":4,"Semantics":"free","Worth":1},{"Name":"pay","AimS":1,"DeadlineS":4,"Semantics":"single_shot","Worth":1}`,
+	).Replace(configJSON(listen, agent.Addr())))
+	startInstance(t, path, t.TempDir())
+	var all sync.WaitGroup
+	for i, c := range slowResponseCases() {
+		all.Go(func() {
+			if err := c.send(listen, fmt.Sprintf("%016x", i+1)); err != nil {
+				t.Errorf("%s, budget %v: %v", c.path(), c.budget, err)
+			}
+		})
+		time.Sleep(5 * time.Millisecond) // the requests do not all begin at the same time
+	}
+	all.Wait()
+}
