http1: a chunked body is returned as it arrives, also inside a chunk

The chunked reader of net/http fills the buffer it is given before it returns. ChunkedReader returns what has arrived, reads the trailer section as well, and can go on after an expired deadline. Responses and forwarded request bodies use it.

TestStreamReturnsStartOfChunk failed before (held back for 2 s) and passes.

--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -307,9 +307,23 @@
 		if ok && len(line) == 0 {
 			return nil
 		}
-		name, value, isField := strings.Cut(string(line), ":")
-		if !ok || !isField || !isToken(name) || !isFieldText(value) {
-			return errors.New("trailer section: a line is not a field")
+		if !ok {
+			return errInvalidTrailer
+		}
+		if err := checkTrailer(line); err != nil {
+			return err
 		}
 	}
 }
+
+// errInvalidTrailer means that a line of a trailer section is not a field.
+var errInvalidTrailer = errors.New("trailer section: a line is not a field")
+
+// checkTrailer checks a line of a trailer section, without its end.
+func checkTrailer(line []byte) error {
+	name, value, isField := strings.Cut(string(line), ":")
+	if !isField || !isToken(name) || !isFieldText(value) {
+		return errInvalidTrailer
+	}
+	return nil
+}
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http/httputil"
 
 	"gorselink/internal/bytebudget"
 	"gorselink/internal/http1"
@@ -159,7 +158,7 @@
 	in       *bufio.Reader
 	head     *http1.Head
 	maxBytes int64
-	chunked  io.Reader
+	chunked  *http1.ChunkedReader
 	received int64 // bytes
 }
 
@@ -176,16 +175,14 @@
 		}
 	} else {
 		if r.chunked == nil {
-			r.chunked = httputil.NewChunkedReader(r.in)
+			r.chunked = http1.NewChunkedReader(r.in)
 		}
 		n, err = r.chunked.Read(b)
 		if r.received += int64(n); r.received > r.maxBytes {
 			return 0, fmt.Errorf("%w: more than %d bytes", errBodyTooLong, r.maxBytes)
 		}
 		if err == io.EOF {
-			if err = http1.SkipTrailers(r.in); err == nil {
-				return n, io.EOF
-			}
+			return n, err
 		}
 	}
 	if err != nil {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httputil"
 	"os"
 	"strconv"
 	"time"
@@ -521,16 +520,13 @@
 	if !h.Chunked {
 		return false // the end of the body is the end of the connection
 	}
-	body := httputil.NewChunkedReader(c.reader)
+	body := http1.NewChunkedReader(c.reader)
 	buf := make([]byte, discardBufferBytes)
 	for received := 0; received <= maxBytes; {
 		n, err := body.Read(buf)
 		received += n
-		if err == io.EOF {
-			return http1.SkipTrailers(c.reader) == nil
-		}
 		if err != nil {
-			return false
+			return err == io.EOF
 		}
 	}
 	return false
@@ -541,14 +537,10 @@
 	var body bytes.Buffer
 	var in io.Reader = c.reader
 	if chunked {
-		in = httputil.NewChunkedReader(c.reader)
+		in = http1.NewChunkedReader(c.reader)
 	}
 	read := func(sizeLimit int) error {
-		_, err := body.ReadFrom(io.LimitReader(in, int64(sizeLimit+1-body.Len())))
-		if err == nil && body.Len() <= sizeLimit && chunked {
-			err = http1.SkipTrailers(c.reader)
-		}
-		if err != nil {
+		if _, err := body.ReadFrom(io.LimitReader(in, int64(sizeLimit+1-body.Len()))); err != nil {
 			return unsizedBodyError(err, chunked)
 		}
 		if body.Len() > sizeLimit {
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http/httputil"
 	"sync/atomic"
 	"time"
 
@@ -26,8 +25,7 @@
 	conn      *conn
 	reader    io.Reader
 	remaining int64 // upper bound of the bytes still to receive
-	chunked   bool
-	reusable  bool // the connection can be reused after the body
+	reusable  bool  // the connection can be reused after the body
 	complete  bool
 	released  bool        // the connection has been checked in or closed
 	aborted   atomic.Bool // reading must end at once
@@ -41,7 +39,7 @@
 	if h.Length > maxBytes {
 		return nil, false, invalidResponseError{fmt.Errorf("response body too long: %d bytes, limit %d", h.Length, maxBytes)}
 	}
-	s := &BodyStream{Length: h.Length, conn: c, chunked: h.Chunked, reusable: !h.Close && (h.Chunked || h.Length >= 0)}
+	s := &BodyStream{Length: h.Length, conn: c, reusable: !h.Close && (h.Chunked || h.Length >= 0)}
 	resp = &Response{Status: h.Status, Fields: h.Fields}
 	if h.Length < 0 {
 		return c.receiveUnsizedBody(h, resp, s)
@@ -66,7 +64,7 @@
 func (c *conn) receiveUnsizedBody(h *http1.Head, resp *Response, s *BodyStream) (_ *Response, reusable bool, err error) {
 	s.reader, s.remaining = c.reader, c.target.pool.cfg.MaxStreamBytes
 	if h.Chunked {
-		s.reader = httputil.NewChunkedReader(c.reader)
+		s.reader = http1.NewChunkedReader(c.reader)
 	}
 	buffer := newBodyBuffer(c.target.pool)
 	for len(buffer.data) < SmallResponseBytes {
@@ -75,11 +73,6 @@
 		}
 		n, err := s.reader.Read(buffer.data[len(buffer.data):cap(buffer.data)])
 		buffer.data = buffer.data[:len(buffer.data)+n]
-		if err == io.EOF && h.Chunked {
-			if err = http1.SkipTrailers(c.reader); err == nil {
-				err = io.EOF
-			}
-		}
 		if err == io.EOF {
 			resp.Body, resp.buffer = buffer.data, buffer
 			return resp, s.reusable && c.reader.Buffered() == 0, nil
@@ -152,17 +145,11 @@
 	if err != io.EOF {
 		return n, err
 	}
-	switch {
-	case s.Length >= 0:
-		err = io.ErrUnexpectedEOF // the connection was closed inside the body
-	case s.chunked:
-		if err = http1.SkipTrailers(s.conn.reader); err == nil {
-			s.complete, err = true, io.EOF
-		}
-	default:
-		s.complete = true // the end of the connection is the end of the body
+	if s.Length >= 0 {
+		return n, io.ErrUnexpectedEOF // the connection was closed inside the body
 	}
-	return n, err
+	s.complete = true // the last chunk has come, or the end of the connection is the end of the body
+	return n, io.EOF
 }
 
 // close ends the stream, which may be incomplete.
