--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -88,8 +88,9 @@
 	req             Request       // the request that is being read or is open
 
 	// State of the request that was read last.
-	responseDue bool // its head has been read and no response has been written
-	mayHaveRun  bool // a pool has taken it, so an endpoint may have run it
+	responseDue bool  // its head has been read and no response has been written
+	mayHaveRun  bool  // a pool has taken it, so an endpoint may have run it
+	writeError  error // why its response could not be written completely
 
 	// State of the open request.
 	watchTimer   *time.Timer // starts watchCaller, which sends on callerLeft
--- a/internal/httpserver/forward.go
+++ b/internal/httpserver/forward.go
@@ -35,7 +35,11 @@
 		}
 		return false, c.respond(req, *failure, true)
 	}
-	defer p.Pool.Done(r)
+	c.writeError = nil
+	defer func() {
+		r.WriteError = c.writeError
+		p.Pool.Done(r)
+	}()
 	c.rejectionsInRow, c.mayHaveRun = 0, true
 	c.pool, c.request, c.watchStarted = p.Pool, r, false
 	if r.Outgoing.Upload != nil {
--- a/internal/httpserver/respond.go
+++ b/internal/httpserver/respond.go
@@ -18,9 +18,9 @@
 		c.keepUntilWritten()
 	}
 	c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	err := resp.write(c.conn, method, keepAlive)
+	c.writeError = resp.write(c.conn, method, keepAlive)
 	c.responseDue = false
-	return err
+	return c.writeError
 }
 
 // respond writes a response and reports whether another request may follow. If none may
--- a/internal/httpserver/stream.go
+++ b/internal/httpserver/stream.go
@@ -37,7 +37,7 @@
 	resp.ReleaseBody()
 	for complete := false; !complete; {
 		if err := rest.WaitForData(); err != nil {
-			return err
+			return endpointError{err}
 		}
 		start := time.Now()
 		if err := out.waitWritable(); err != nil {
@@ -109,12 +109,24 @@
 			return false, err
 		}
 	}
-	if readErr == io.EOF {
+	switch readErr {
+	case nil:
+		return false, nil
+	case io.EOF:
 		return true, nil
 	}
-	return false, readErr
+	return false, endpointError{readErr}
 }
 
+// endpointError is the reason for which the rest of a response could not be received.
+type endpointError struct{ cause error }
+
+// Error implements error.
+func (e endpointError) Error() string { return "the endpoint's response broke off: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e endpointError) Unwrap() error { return e.cause }
+
 // end writes the end of the body.
 func (s *streamWriter) end() error {
 	if !s.chunked {
--- a/internal/pool/abnormal_end_test.go
+++ b/internal/pool/abnormal_end_test.go
@@ -66,7 +66,7 @@
 	if len(lines) != maxAbnormalEndLines {
 		t.Fatalf("%d log lines for %d requests that failed within a second, want %d", len(lines), 3*maxAbnormalEndLines, maxAbnormalEndLines)
 	}
-	for _, want := range []string{"id=id-1 ", "class=0 ", "end=failed ", "budget=10s ", "attempts=1 ", "s-1 error after "} {
+	for _, want := range []string{"id=id-1 ", "class=0 ", "end=failed ", "budget=10s ", "attempts=1 ", "s-1 error after ", " (status 500)"} {
 		if !strings.Contains(lines[0], want) {
 			t.Errorf("log line %q does not contain %q", lines[0], want)
 		}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -99,6 +99,10 @@
 	// CallID is the caller's identifier of the request, for the log only.
 	CallID string
 
+	// WriteError is why the response could not be written completely, for the log only. It may be
+	// set before Done.
+	WriteError error
+
 	id          balance.RequestID
 	submittedAt time.Time
 	call        upstream.Call // ends when no more attempts may be sent
@@ -424,6 +428,7 @@
 	number        int
 	endpoint      string
 	sent, timeout time.Duration
+	failure       error // why there is no usable response; nil if none was due
 }
 
 // RunFirstAttempt makes the first attempt for a submitted request and waits for its outcome, if
@@ -504,6 +509,9 @@
 	}
 }
 
+// ResponseFailed implements upstream.ResponseObserver.
+func (a *attempt) ResponseFailed(reason error) { a.failure = reason }
+
 // stillValid reports whether the decision for the attempt still holds. While a connection is
 // established, the endpoint may begin to drain, or the deduplication window of a retry may end.
 func (a *attempt) stillValid(now time.Time) bool {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -103,6 +103,13 @@
 // Confirmer reports whether an attempt may still be sent.
 type Confirmer interface{ Confirm() bool }
 
+// ResponseObserver is told how the response to an attempt arrives. A Confirmer may implement it; its
+// methods are called in the goroutine of the attempt.
+type ResponseObserver interface {
+	// ResponseFailed is called with the reason for which there is no usable response.
+	ResponseFailed(reason error)
+}
+
 // Do makes one attempt at the named endpoint and waits for its result until the deadline. A
 // response is returned with balance.OK and, if Config.PassThroughStatus is set and the
 // endpoint sent one, with balance.Error. If confirmer is not nil, Do calls it right before it
@@ -150,7 +157,10 @@
 		deadline = r.Upload.SentAt().Add(budget)
 		c.SetDeadline(deadline)
 	}
-	resp, reusable, result := c.receive(r, deadline)
+	resp, reusable, result, err := c.receive(r, deadline)
+	if observer, ok := confirmer.(ResponseObserver); ok && err != nil {
+		observer.ResponseFailed(err)
+	}
 	if resp != nil {
 		resp.LocalDelay = localDelay
 	}
@@ -398,11 +408,15 @@
 
 const protocolPrefix = "HTTP/1."
 
+// errResponseStopped means that the endpoint has stopped inside its response, and that the time for the
+// rest has ended.
+var errResponseStopped = errors.New("the response stopped before its end")
+
 // midResponseError converts a read error in the middle of a response. A timeout makes the
 // response invalid, and a broken connection does not.
 func midResponseError(err error) error {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return invalidResponseError{err}
+		return invalidResponseError{errResponseStopped}
 	}
 	return err
 }
@@ -414,19 +428,19 @@
 }
 
 // receive reads the response to the request that has been sent. reusable reports whether the
-// connection can be used for another request.
-func (c *conn) receive(r *Request, deadline time.Time) (resp *Response, reusable bool, result balance.Result) {
+// connection can be used for another request. err is the reason for which a response is unusable.
+func (c *conn) receive(r *Request, deadline time.Time) (resp *Response, reusable bool, result balance.Result, err error) {
 	h, err := c.readHead(deadline)
 	if err != nil {
-		return nil, false, failureResult(err)
+		return nil, false, failureResult(err), err
 	}
 	success := c.target.pool.isSuccess(h.Status)
 	if c.target.pool.cfg.MaxStreamBytes > 0 && success && !hasNoBody(h, r.Method) {
 		resp, reusable, err := c.receiveBody(h)
-		return resp, reusable, streamResult(err)
+		return resp, reusable, streamResult(err), err
 	}
 	if !success && !c.target.pool.cfg.PassThroughStatus {
-		return nil, c.discardBody(h, r.Method) && !h.Close && c.reader.Buffered() == 0, failedStatusResult(h)
+		return nil, c.discardBody(h, r.Method) && !h.Close && c.reader.Buffered() == 0, failedStatusResult(h), statusError(h.Status)
 	}
 	body, memory, err := c.readBody(h, r.Method)
 	reusable = err == nil && !h.Close && c.reader.Buffered() == 0
@@ -438,11 +452,17 @@
 	}
 	if err != nil || result != balance.OK && (result != balance.Error || !c.target.pool.cfg.PassThroughStatus) {
 		memory.Release()
-		return nil, reusable, result
+		return nil, reusable, result, cmp.Or(err, error(statusError(h.Status)))
 	}
-	return &Response{Status: h.Status, Fields: h.Fields, Body: body, memory: memory}, reusable, result
+	return &Response{Status: h.Status, Fields: h.Fields, Body: body, memory: memory}, reusable, result, nil
 }
 
+// statusError is the status of a response that is not a success.
+type statusError int
+
+// Error implements error.
+func (s statusError) Error() string { return fmt.Sprintf("status %d", int(s)) }
+
 // failedStatusResult returns the result of an attempt whose response has a status that is not a
 // success.
 func failedStatusResult(h *http1.Head) balance.Result {
