upstream: a pause ends no response, and one that has begun outlives its client's wait

Callers got 503 or 502 while their endpoint was still writing: a pause of 0.5 s inside a response ended the attempt, and at the end of the wait the Balancer ended a request whose response had begun. Only bodies with a length over 64 KiB escaped both.

A pause lets one other attempt begin beside the paused one where class, MayDuplicate, limit and retry budget permit. A body of unknown length is held for a retry's sake until it is complete, over 64 KiB, 1.75 s old, or 10 ms before the deadline, and then passed on; a response of the Balancer waits for it meanwhile. After the wait what is not known to be long, or 16 KiB long already, has 0.45 s. The chunked reader takes what is pending on the socket.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -491,9 +491,10 @@
 func (b *Balancer) dispatch(r *request, now time.Duration) (sent bool) {
 	switch i := b.pick(r, now); {
 	case i >= 0:
-		// Reject if less than half of the expected duration is left. Over a third of all calls
-		// take less than half of the endpoint's mean; with less time than that few succeed.
-		if b.endpoints[i].mean(now)*b.durationRatio(r.class)/2 <= (r.deadline-now).Seconds() || !b.reject(r, now, RejectedForTime) {
+		switch {
+		case b.hasTime(r, i, now):
+			sent = b.send(r, i, now)
+		case r.inFlight == 0 && !b.reject(r, now, RejectedForTime):
 			sent = b.send(r, i, now)
 		}
 	case r.inFlight > 0:
@@ -509,6 +510,12 @@
 	return sent
 }
 
+// hasTime reports whether at least half of the expected duration at endpoint i is left. Over a third of
+// all calls take less than half of the endpoint's mean; with less time than that few succeed.
+func (b *Balancer) hasTime(r *request, i int, now time.Duration) bool {
+	return b.endpoints[i].mean(now)*b.durationRatio(r.class)/2 <= (r.deadline - now).Seconds()
+}
+
 // setTimer schedules a timer of the given kind for r.
 func (b *Balancer) setTimer(r *request, d time.Duration, kind uint64) {
 	b.actions.After(d, uint64(r.id)<<timerBits|kind)
@@ -525,11 +532,19 @@
 	}
 }
 
+// maxConcurrentAttempts bounds the attempts of a request in flight if Config.AllowConcurrentAttempts
+// is set.
+const maxConcurrentAttempts = 2
+
 // maySend reports whether r may be sent to endpoint i: the request is open and has time and
 // attempts left, the endpoint is ready, and the request's idempotency and the cold budget permit it.
 func (b *Balancer) maySend(r *request, i int, now time.Duration) bool {
 	e := &b.endpoints[i]
-	if r.closed || now >= r.deadline || len(r.attempts) >= b.cfg.AttemptLimit || e.State != Ready || r.inFlight > 0 && !b.cfg.AllowConcurrentAttempts {
+	concurrent := 1
+	if b.cfg.AllowConcurrentAttempts {
+		concurrent = maxConcurrentAttempts
+	}
+	if r.closed || now >= r.deadline || len(r.attempts) >= b.cfg.AttemptLimit || e.State != Ready || r.inFlight >= concurrent {
 		return false
 	}
 	return b.mayRepeat(r, e, now) && b.coldBudgetAllows(e, now)
@@ -666,6 +681,26 @@
 	}
 }
 
+// ResponsePaused records that the endpoint of an attempt has begun its response and paused. As it may
+// go on, the attempt does not end. If the settings and the retry budget permit it, another attempt is made
+// beside it.
+func (b *Balancer) ResponsePaused(now time.Duration, id RequestID, number int) {
+	r := b.requests[id]
+	if r == nil || r.closed || number < 0 || number >= len(r.attempts) || r.attempts[number].done {
+		return
+	}
+	b.endpoints[r.attempts[number].endpoint].failures.add(now, pauseFailure)
+	if !b.cfg.AllowConcurrentAttempts || b.retryTokens < 1 {
+		return
+	}
+	if i := b.pick(r, now); i >= 0 && b.hasTime(r, i, now) && b.send(r, i, now) {
+		b.retryTokens--
+	}
+}
+
+// pauseFailure is what a pause inside a response counts as, compared with a failure.
+const pauseFailure = 0.5
+
 // recordOutcome adds an outcome to the measurements of its endpoint, zone and class.
 func (b *Balancer) recordOutcome(now time.Duration, r *request, a *attempt, number int, result Result, elapsed time.Duration) {
 	b.endpoints[a.endpoint].removeInFlight(attemptRef{r, number})
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -740,3 +740,49 @@
 		t.Errorf("after Close: %d attempts, %d failed, want 3 and 1", len(h.sends), len(h.failed))
 	}
 }
+
+// A pause inside a response lets another attempt begin beside it where class, settings and retry
+// budget permit one, and ends nothing.
+func TestPausedResponse(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		class      int
+		concurrent bool
+		noTokens   bool
+		pausedAt   time.Duration
+		want       int // attempts
+	}{
+		{"idempotent", 0, true, false, 500 * ms, 2},
+		{"idempotent, one attempt at a time", 0, false, false, 500 * ms, 1},
+		{"idempotent, no retry budget", 0, true, true, 500 * ms, 1},
+		{"idempotent, no time left", 0, true, false, 990 * ms, 1},
+		{"not idempotent", 1, true, false, 500 * ms, 1},
+		{"by key, within the window", 2, true, false, 200 * ms, 2},
+		{"by key, after the window", 2, true, false, 500 * ms, 1},
+	} {
+		cfg := testConfig()
+		cfg.AllowConcurrentAttempts = c.concurrent
+		b, h := newTestBalancer(t, cfg, "a", "b")
+		for i := range b.endpoints {
+			b.endpoints[i].addSample(0, 0.1)
+		}
+		if c.noTokens {
+			b.retryTokens = 0
+		}
+		b.Request(0, 1, c.class, 0, time.Second)
+		b.ResponsePaused(c.pausedAt, 1, 0)
+		for number := range len(h.sends) { // a pause of the second attempt as well starts no third
+			b.ResponsePaused(c.pausedAt+ms, 1, number)
+		}
+		if len(h.sends) != c.want || len(h.rejected)+len(h.failed) != 0 {
+			t.Errorf("%s: %d attempts, %d rejections, %d failures, want %d attempts and no end", c.name, len(h.sends), len(h.rejected), len(h.failed), c.want)
+		}
+		b.Outcome(c.pausedAt+2*ms, 1, 0, OK, c.pausedAt+2*ms, true)
+		if c.want == 2 {
+			b.Outcome(c.pausedAt+3*ms, 1, 1, Cancelled, ms, true)
+		}
+		if len(b.requests) != 0 || b.inFlight != 0 {
+			t.Errorf("%s: %d requests and %d attempts are left", c.name, len(b.requests), b.inFlight)
+		}
+	}
+}
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -65,6 +65,15 @@
 			c.errorf("request %d: retry of an IdempotentByKey request outside its cell or the deduplication window", id)
 		}
 	}
+	inFlight := 0
+	for _, t := range w.attempts {
+		if !t.done {
+			inFlight++
+		}
+	}
+	if inFlight >= maxConcurrentAttempts {
+		c.errorf("request %d: attempt sent beside %d others", id, inFlight)
+	}
 	due := c.now + min(timeout, time.Duration(c.rng.IntN(1200))*ms)
 	w.attempts = append(w.attempts, attemptState{addr: addr, sent: c.now, endsAt: due})
 }
@@ -105,6 +114,9 @@
 		w := c.requests[id]
 		for k := range w.attempts {
 			t := &w.attempts[k]
+			if !t.done && t.endsAt > c.now && c.rng.IntN(100) == 0 {
+				b.ResponsePaused(c.now, id, k)
+			}
 			if t.done || t.endsAt > c.now {
 				continue
 			}
--- a/internal/http1/chunked.go
+++ b/internal/http1/chunked.go
@@ -31,6 +31,7 @@
 // continue. Errors of the coding are final.
 type ChunkedReader struct {
 	in           *bufio.Reader
+	pending      func() bool
 	state        chunkState
 	remaining    int64 // bytes of the current chunk that have not been read
 	overhead     int64 // bytes of framing beyond what is allowed
@@ -48,15 +49,19 @@
 	chunkTrailers
 )
 
-// NewChunkedReader returns a reader of the body that follows in in.
-func NewChunkedReader(in *bufio.Reader) *ChunkedReader { return &ChunkedReader{in: in} }
+// NewChunkedReader returns a reader of the body that follows in in. If pending is not nil, it reports
+// whether the underlying reader has data that can be read without waiting. Read then returns as much as
+// there is; otherwise it returns what in has buffered.
+func NewChunkedReader(in *bufio.Reader, pending func() bool) *ChunkedReader {
+	return &ChunkedReader{in: in, pending: pending}
+}
 
 // Read implements io.Reader. It waits only until there is some data, and returns io.EOF after the end
 // of the trailer section.
 func (r *ChunkedReader) Read(b []byte) (n int, err error) {
 	for r.err == nil {
 		if r.state == chunkData {
-			if len(b) == 0 || n > 0 && r.in.Buffered() == 0 {
+			if len(b) == 0 || n > 0 && !r.available(len(b)) {
 				return n, nil
 			}
 			k, err := r.readData(b)
@@ -67,6 +72,9 @@
 			}
 			continue
 		}
+		if n > 0 && r.in.Buffered() == 0 && r.available(len(b)) {
+			r.in.Peek(1) // does not wait; an error is returned by the next read
+		}
 		line, err := r.peekLine(n == 0)
 		if err != nil || line == nil {
 			return n, err
@@ -76,6 +84,14 @@
 	return n, r.err
 }
 
+// minPendingRoom is the room in a buffer from which on it is worth asking for pending data.
+const minPendingRoom = 4 << 10
+
+// available reports whether more can be read without waiting, into a buffer with this room.
+func (r *ChunkedReader) available(room int) bool {
+	return r.in.Buffered() > 0 || r.pending != nil && room >= minPendingRoom && r.pending()
+}
+
 // readData reads data of the current chunk, with one read of the underlying reader at most.
 func (r *ChunkedReader) readData(b []byte) (n int, err error) {
 	n, err = r.in.Read(b[:min(int64(len(b)), r.remaining)])
--- a/internal/http1/chunked_test.go
+++ b/internal/http1/chunked_test.go
@@ -39,7 +39,7 @@
 		"inside the end of a chunk":    {"3\r\n012\r", "\n7\r\n3456789\r\n0\r\n\r\n"},
 		"inside the next chunk's size": {"3\r\n012\r\n7", "\r\n3456789\r\n0\r\n\r\n"},
 	} {
-		r := NewChunkedReader(bufio.NewReader(&scriptedReader{t, script}))
+		r := NewChunkedReader(bufio.NewReader(&scriptedReader{t, script}), nil)
 		b := make([]byte, 100)
 		if n, err := r.Read(b); string(b[:n]) != "012" || err != nil {
 			t.Errorf("%s: %q, %v, want the 3 bytes that have arrived", name, b[:n], err)
@@ -51,7 +51,7 @@
 		script = append(script, "", body[i:i+1])
 	}
 	in := &scriptedReader{t, script}
-	r := NewChunkedReader(bufio.NewReader(in))
+	r := NewChunkedReader(bufio.NewReader(in), nil)
 	var got []byte
 	for b := make([]byte, 100); ; {
 		n, err := r.Read(b)
@@ -78,8 +78,9 @@
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		ours := bufio.NewReaderSize(bytes.NewReader(text), MaxHeadBytes)
-		got, err := io.ReadAll(NewChunkedReader(ours))
+		in := bytes.NewReader(text)
+		ours := bufio.NewReaderSize(in, MaxHeadBytes)
+		got, err := io.ReadAll(NewChunkedReader(ours, func() bool { return len(text)%2 == 0 && in.Len() > 0 }))
 		theirs := bufio.NewReaderSize(bytes.NewReader(text), MaxHeadBytes)
 		want, wantErr := io.ReadAll(httputil.NewChunkedReader(theirs))
 		if wantErr == nil {
@@ -104,7 +105,7 @@
 		"1 MB":   "100000\r\n" + strings.Repeat("x", 1<<20) + "\r\n0\r\n\r\n",
 	} {
 		for reader, newReader := range map[string]func(*bufio.Reader) io.Reader{
-			"http1":    func(in *bufio.Reader) io.Reader { return NewChunkedReader(in) },
+			"http1":    func(in *bufio.Reader) io.Reader { return NewChunkedReader(in, nil) },
 			"net/http": func(in *bufio.Reader) io.Reader { return httputil.NewChunkedReader(in) },
 		} {
 			b.Run(name+"/"+reader, func(b *testing.B) {
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -175,7 +175,7 @@
 		}
 	} else {
 		if r.chunked == nil {
-			r.chunked = http1.NewChunkedReader(r.in)
+			r.chunked = http1.NewChunkedReader(r.in, nil)
 		}
 		n, err = r.chunked.Read(b)
 		if r.received += int64(n); r.received > r.maxBytes {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -79,6 +79,7 @@
 	timers       timerQueue
 	stats        Stats
 	lastReported Stats // as of the last Report
+	closing      bool  // Close has been called
 	abnormalEnds int   // requests that ended abnormally since the last Report
 }
 
@@ -118,6 +119,8 @@
 	detached       bool               // removed from the Balancer, see detach
 	errorResponse  *upstream.Response // the last error response of an endpoint
 	outcome        Outcome            // set with responded
+	held           int                // pending attempts whose response is held back
+	postponed      *Response          // what the Balancer responds, unless a response that is held back is passed on
 	attemptRecords []attemptRecord    // for the log, if the request may end abnormally
 }
 
@@ -378,6 +381,7 @@
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closing = true
 	for _, r := range p.requests {
 		r.call.Abort()
 	}
@@ -429,6 +433,7 @@
 	endpoint      string
 	sent, timeout time.Duration
 	failure       error // why there is no usable response; nil if none was due
+	held          bool  // counted in request.held
 }
 
 // RunFirstAttempt makes the first attempt for a submitted request and waits for its outcome, if
@@ -456,6 +461,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if r.detached {
+		a.releaseHeld()
 		p.stats.Results[result]++
 		p.finishUpload(r, up, result)
 		return
@@ -466,13 +472,19 @@
 	p.recordAttempt(r, a, result, now)
 	elapsed := now - a.sent
 	if up != nil {
-		elapsed -= up.LocalDelay // delays on this machine do not count against the endpoint
+		elapsed -= up.LocalDelay + up.HoldDelay
+		if up.HoldDelay > 0 {
+			p.stats.PassedOn++
+		}
 	}
 	switch {
 	case up == nil:
 	case r.responded:
 		up.Release()
 	case result == balance.OK:
+		if a != &r.first {
+			r.call.Abort() // the goroutine that writes the response may be running the first attempt
+		}
 		p.stats.Served++
 		p.deliver(r, Response{Outcome: Served, Upstream: up})
 	default:
@@ -481,6 +493,7 @@
 		}
 		r.errorResponse = up
 	}
+	a.releaseHeld()
 	ended := r.responded || r.cancelled
 	p.balancer.Outcome(now, r.id, a.number, result, elapsed, ended)
 	p.finishIfDone(r)
@@ -509,9 +522,6 @@
 	}
 }
 
-// ResponseFailed implements upstream.ResponseObserver.
-func (a *attempt) ResponseFailed(reason error) { a.failure = reason }
-
 // stillValid reports whether the decision for the attempt still holds. While a connection is
 // established, the endpoint may begin to drain, or the deduplication window of a retry may end.
 func (a *attempt) stillValid(now time.Time) bool {
@@ -556,23 +566,18 @@
 		h.Fail(id)
 		return
 	}
-	p.stats.Rejected++
-	p.deliver(r, Response{Outcome: Rejected, RetryAfter: retryAfter})
-	p.finishIfDone(r)
+	p.respond(r, Response{Outcome: Rejected, RetryAfter: retryAfter})
 }
 
 // Fail implements balance.Actions.
 func (h *balancerActions) Fail(id balance.RequestID) {
 	p := (*Pool)(h)
 	r := p.requests[id]
-	p.stats.Failed++
-	switch {
-	case r.pending > 0:
-		p.deliver(r, Response{Outcome: TimedOut})
-	default:
-		p.deliver(r, Response{Outcome: Failed, Upstream: r.errorResponse})
+	if r.pending > 0 {
+		p.respond(r, Response{Outcome: TimedOut})
+		return
 	}
-	p.finishIfDone(r)
+	p.respond(r, Response{Outcome: Failed, Upstream: r.errorResponse})
 }
 
 // Watch implements balance.Actions.
--- a/internal/sidecar/slow_response_test.go
+++ b/internal/sidecar/slow_response_test.go
@@ -65,6 +65,7 @@
 	parts   int
 	pause   time.Duration // between parts
 	hang    bool          // after the first part
+	once    bool          // later attempts of the same request get the response at once
 }
 
 var responsePaces = map[string]responsePace{
@@ -72,6 +73,7 @@
 	"lumps":    {parts: 4, pause: 620 * time.Millisecond},
 	"steady":   {parts: 40, pause: 45 * time.Millisecond},
 	"hang":     {parts: 3, hang: true},
+	"hangOnce": {parts: 3, hang: true, once: true},
 }
 
 // slowResponseCase is one request of TestSlowResponses.
@@ -110,10 +112,27 @@
 	return all
 }
 
-// serveSlowly writes the response that the path of the request asks for.
-func serveSlowly(conn net.Conn, path string) error {
-	fields := strings.Split(strings.TrimPrefix(path, "/"), "/")
+// slowEndpoints counts the attempts that have reached any of the endpoints.
+type slowEndpoints struct {
+	mu       sync.Mutex
+	attempts map[string]int // by id
+}
+
+// count counts an attempt and returns how many have come with its id.
+func (e *slowEndpoints) count(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.attempts[id]++
+	return e.attempts[id]
+}
+
+// serve writes the response that the path of the request asks for.
+func (e *slowEndpoints) serve(conn net.Conn, r *http.Request) error {
+	fields := strings.Split(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	framing, pace := responseFraming(fields[1]), responsePaces[fields[3]]
+	if attempt := e.count(r.Header.Get("X-Call-Id")); attempt > 1 && pace.once {
+		pace = responsePace{parts: 1}
+	}
 	size, err := strconv.Atoi(fields[2])
 	if err != nil {
 		return err
@@ -144,8 +163,8 @@
 
 func slowBody(size int) []byte { return bytes.Repeat([]byte("0123456789"), size/10) }
 
-// newSlowEndpoint starts an endpoint whose responses are those of serveSlowly.
-func newSlowEndpoint(t *testing.T) string {
+// start starts an endpoint and returns its address.
+func (e *slowEndpoints) start(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -157,7 +176,7 @@
 			in := bufio.NewReader(conn)
 			for {
 				r, err := http.ReadRequest(in)
-				if err != nil || serveSlowly(conn, r.URL.Path) != nil {
+				if err != nil || e.serve(conn, r) != nil {
 					return
 				}
 			}
@@ -204,10 +223,25 @@
 // A response that an endpoint writes slowly or with pauses is not cut off, whatever its framing and
 // length and the class of its request, and a request whose endpoint hangs inside the response does not
 // fail before the end of its budget.
-func TestSlowResponses(t *testing.T) {
+func TestSlowResponses(t *testing.T) { runSlowResponses(t, slowResponseCases()) }
+
+// While an endpoint hangs inside its response, another attempt is made beside it if the class of the
+// request allows that.
+func TestAttemptBesidePausedResponse(t *testing.T) {
+	var cases []slowResponseCase
+	for _, framing := range []responseFraming{byLength, byChunks, byClose} {
+		cases = append(cases, slowResponseCase{"view", framing, 2_000, "hangOnce", 1500 * time.Millisecond, true},
+			slowResponseCase{"pay", framing, 2_000, "hangOnce", 1500 * time.Millisecond, false})
+	}
+	runSlowResponses(t, cases)
+}
+
+// runSlowResponses sends the requests of all cases to one sidecar.
+func runSlowResponses(t *testing.T, cases []slowResponseCase) {
 	var list []fakeserver.Entry
+	endpoints := &slowEndpoints{attempts: map[string]int{}}
 	for i := range 12 {
-		list = append(list, fakeserver.Entry{Name: fmt.Sprintf("s-%d", i), Address: newSlowEndpoint(t), Zone: "a", Status: string(discovery.InService)})
+		list = append(list, fakeserver.Entry{Name: fmt.Sprintf("s-%d", i), Address: endpoints.start(t), Zone: "a", Status: string(discovery.InService)})
 	}
 	agent, err := fakeserver.StartAgent(list...)
 	if err != nil {
@@ -223,11 +257,15 @@
 	).Replace(configJSON(listen, agent.Addr())))
 	startInstance(t, path, t.TempDir())
 	var all sync.WaitGroup
-	for i, c := range slowResponseCases() {
+	for i, c := range cases {
 		all.Go(func() {
-			if err := c.send(listen, fmt.Sprintf("%016x", i+1)); err != nil {
+			id := fmt.Sprintf("%016x", i+1)
+			if err := c.send(listen, id); err != nil {
 				t.Errorf("%s, budget %v: %v", c.path(), c.budget, err)
 			}
+			if attempts := endpoints.count(id) - 1; c.class == "pay" && attempts != 1 {
+				t.Errorf("%s, budget %v: %d attempts, want 1", c.path(), c.budget, attempts)
+			}
 		})
 		time.Sleep(5 * time.Millisecond) // the requests do not all begin at the same time
 	}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -51,6 +51,10 @@
 	// It does not count as latency of the endpoint.
 	LocalDelay time.Duration
 
+	// HoldDelay is the time for which the beginning of a body was held back that is not complete. It
+	// does not count as latency of the endpoint either, as a long response is timed by its first bytes.
+	HoldDelay time.Duration
+
 	memory bytebudget.Reservation
 	buffer bodyBuffer // holds Body if its length was unknown
 }
@@ -79,9 +83,8 @@
 	// breaks off is a failed attempt and not half a response to the caller.
 	defaultMaxResponseBytes = 1 << 20
 
-	// defaultStallTimeout bounds a pause inside a response that has started, because waiting for
-	// the rest delays a retry. An endpoint that freezes for longer in the middle of a response is
-	// misjudged as failing.
+	// defaultStallTimeout is the default of Config.ResponseStallTimeout. An endpoint that freezes for
+	// longer in the middle of a response is misjudged as failing.
 	defaultStallTimeout = 500 * time.Millisecond
 
 	// maxInterimResponses bounds the interim (1xx) responses before the final one.
@@ -106,6 +109,11 @@
 // ResponseObserver is told how the response to an attempt arrives. A Confirmer may implement it; its
 // methods are called in the goroutine of the attempt.
 type ResponseObserver interface {
+	// ResponsePaused is called once if nothing has arrived for pauseThreshold after the response had begun.
+	ResponsePaused()
+	// ResponseHeld is called when a body of unknown length begins. Unless Do fails, it returns the
+	// response at holdMargin before the deadline at the latest.
+	ResponseHeld()
 	// ResponseFailed is called with the reason for which there is no usable response.
 	ResponseFailed(reason error)
 }
@@ -127,6 +135,8 @@
 	if c == nil {
 		return nil, result
 	}
+	observer, _ := confirmer.(ResponseObserver)
+	c.wait = responseWait{observer: observer}
 	c.SetDeadline(deadline)
 	attempt := activeAttempt{conn: c, deadline: deadline}
 	if !call.register(attempt) {
@@ -158,13 +168,13 @@
 		c.SetDeadline(deadline)
 	}
 	resp, reusable, result, err := c.receive(r, deadline)
-	if observer, ok := confirmer.(ResponseObserver); ok && err != nil {
+	if observer != nil && err != nil {
 		observer.ResponseFailed(err)
 	}
 	if resp != nil {
 		resp.LocalDelay = localDelay
 	}
-	c.stallTimeout = 0
+	c.wait = responseWait{}
 	ended := call.unregister(attempt)
 	if resp != nil && resp.Remaining != nil {
 		if c.aborted.Load() { // the rest of the body cannot be read
@@ -202,14 +212,6 @@
 	p.checkIn(c, false)
 }
 
-// setReadTimeout limits reads to the given timeout, or to the deadline if that is earlier.
-func (c *conn) setReadTimeout(deadline time.Time, timeout time.Duration) {
-	if end := time.Now().Add(timeout); end.Before(deadline) {
-		deadline = end
-	}
-	c.SetReadDeadline(deadline)
-}
-
 // connect returns a connection to the named endpoint, or the result of the attempt if there is
 // none. localDelay is the time lost to dial failures of this machine.
 func (p *Pool) connect(call *Call, name string, nonIdempotent bool, deadline time.Time) (c *conn, localDelay time.Duration, result balance.Result) {
@@ -376,8 +378,7 @@
 			return nil, err
 		}
 		c.responseStarted = true
-		c.stallTimeout, c.responseDeadline = c.target.pool.cfg.ResponseStallTimeout, deadline
-		c.setReadTimeout(deadline, c.stallTimeout)
+		c.beginResponse(deadline)
 		// Fail on data that is not HTTP without waiting for a complete head.
 		if b, err := c.reader.Peek(len(protocolPrefix)); err == nil && string(b) != protocolPrefix {
 			return nil, invalidResponseError{fmt.Errorf("invalid response: starts with %q, want an HTTP/1 status line", b)}
@@ -400,8 +401,7 @@
 		if h.Status >= 200 {
 			return h, nil
 		}
-		c.stallTimeout = 0
-		c.SetReadDeadline(deadline) // no stall timeout between an interim response and the next one
+		c.suspendResponse(deadline)
 	}
 	return nil, invalidResponseError{errors.New("invalid response: too many interim responses")}
 }
@@ -440,6 +440,7 @@
 		return resp, reusable, streamResult(err), err
 	}
 	if !success && !c.target.pool.cfg.PassThroughStatus {
+		c.wait.maxPause = discardPauseTimeout
 		return nil, c.discardBody(h, r.Method) && !h.Close && c.reader.Buffered() == 0, failedStatusResult(h), statusError(h.Status)
 	}
 	body, memory, err := c.readBody(h, r.Method)
@@ -540,7 +541,7 @@
 	if !h.Chunked {
 		return false // the end of the body is the end of the connection
 	}
-	body := http1.NewChunkedReader(c.reader)
+	body := http1.NewChunkedReader(c.reader, nil)
 	buf := make([]byte, discardBufferBytes)
 	for received := 0; received <= maxBytes; {
 		n, err := body.Read(buf)
@@ -557,7 +558,7 @@
 	var body bytes.Buffer
 	var in io.Reader = c.reader
 	if chunked {
-		in = http1.NewChunkedReader(c.reader)
+		in = http1.NewChunkedReader(c.reader, nil)
 	}
 	read := func(sizeLimit int) error {
 		if _, err := body.ReadFrom(io.LimitReader(in, int64(sizeLimit+1-body.Len()))); err != nil {
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -35,8 +35,7 @@
 	case grace == 0:
 		a.conn.abort()
 	default:
-		a.conn.SetWriteDeadline(expiredDeadline)
-		a.conn.setReadTimeout(a.deadline, grace)
+		a.conn.endAfter(grace, a.deadline)
 	}
 }
 
@@ -97,6 +96,9 @@
 func (c *Call) unregister(a activeAttempt) (ended bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if a.conn != nil {
+		a.conn.endsBy.Store(0)
+	}
 	if c.first == a {
 		c.first = activeAttempt{}
 		return c.ended
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -24,12 +24,10 @@
 	responseHead    http1.Head             // head of the last response; a Response may keep its fields
 	peeker          *socketstate.Peeker
 
-	// While a response is being received, each read moves the read deadline to stallTimeout
-	// from now, but not beyond responseDeadline. A stallTimeout of 0 disables this.
-	stallTimeout     time.Duration
-	responseDeadline time.Time
+	wait responseWait
 
-	aborted atomic.Bool // the attempt was aborted; all deadlines stay in the past
+	aborted atomic.Bool  // the attempt was aborted; all deadlines stay in the past
+	endsBy  atomic.Int64 // when reads end because the call has ended, in Unix nanoseconds; 0 if it has not
 }
 
 const (
@@ -55,16 +53,6 @@
 	return c
 }
 
-// Read implements net.Conn. Received data extends the read deadline, so that a slow response is
-// not taken for a stalled one.
-func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 && c.stallTimeout > 0 {
-		c.setReadTimeout(c.responseDeadline, c.stallTimeout)
-	}
-	return n, err
-}
-
 // expiredDeadline is a deadline in the past, which ends a read or write at once.
 var expiredDeadline = time.Unix(1, 0)
 
@@ -76,13 +64,36 @@
 	c.Conn.SetWriteDeadline(expiredDeadline)
 }
 
-// SetReadDeadline implements net.Conn.
+// endAfter ends writes at once, and reads after the grace period or at the deadline. It may be called
+// while another goroutine uses the connection.
+func (c *conn) endAfter(grace time.Duration, deadline time.Time) {
+	c.endsBy.Store(earlier(time.Now().Add(grace), deadline).UnixNano())
+	c.SetWriteDeadline(expiredDeadline)
+	c.SetReadDeadline(deadline)
+}
+
+// graceEnded reports whether the call has ended and the grace period is over.
+func (c *conn) graceEnded(now time.Time) bool {
+	end := c.endsBy.Load()
+	return end != 0 && now.UnixNano() >= end
+}
+
+// SetReadDeadline implements net.Conn. The deadline is no later than endsBy.
 func (c *conn) SetReadDeadline(t time.Time) error {
-	err := c.Conn.SetReadDeadline(t)
-	if c.aborted.Load() { // abort may have run before the deadline was set
-		return c.Conn.SetReadDeadline(expiredDeadline)
+	for {
+		end := c.endsBy.Load()
+		limited := t
+		if end != 0 && (t.IsZero() || t.UnixNano() > end) {
+			limited = time.Unix(0, end)
+		}
+		err := c.Conn.SetReadDeadline(limited)
+		switch {
+		case c.aborted.Load(): // abort may have run before the deadline was set
+			return c.Conn.SetReadDeadline(expiredDeadline)
+		case c.endsBy.Load() == end: // endAfter has not run meanwhile
+			return err
+		}
 	}
-	return err
 }
 
 // SetWriteDeadline implements net.Conn.
@@ -104,3 +115,6 @@
 func (c *conn) reusable() bool {
 	return c.reader.Buffered() == 0 && c.peeker.State() == socketstate.Idle
 }
+
+// hasPendingData reports whether data has arrived that has not been read.
+func (c *conn) hasPendingData() bool { return socketstate.HasPendingData(c.Conn) }
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -13,10 +13,14 @@
 	"gorselink/internal/socketstate"
 )
 
-// streamStallTimeout bounds a pause inside a streamed response. It is long because a streamed
-// response cannot be retried. It only prevents a stalled endpoint from occupying the connection.
+// streamStallTimeout bounds a pause inside a response that is known to be longer than
+// SmallResponseBytes. It is long because a streamed response cannot be retried. It only prevents a
+// stalled endpoint from occupying the connection.
 const streamStallTimeout = 10 * time.Second
 
+// minStreamWait is the least time for which a stream waits for data, as its caller may have been slow.
+const minStreamWait = 100 * time.Millisecond
+
 // BodyStream is the part of a response body that has not been received yet. Read returns
 // io.EOF after the last byte and another error if the body is truncated.
 type BodyStream struct {
@@ -25,7 +29,10 @@
 	conn      *conn
 	reader    io.Reader
 	remaining int64 // upper bound of the bytes still to receive
-	reusable  bool  // the connection can be reused after the body
+	received  int64
+	deadline  time.Time // of the attempt
+	lastData  time.Time // when the last data before the stream arrived; zero once it has returned data
+	reusable  bool      // the connection can be reused after the body
 	complete  bool
 	released  bool        // the connection has been checked in or closed
 	aborted   atomic.Bool // reading must end at once
@@ -39,7 +46,7 @@
 	if h.Length > maxBytes {
 		return nil, false, invalidResponseError{fmt.Errorf("response body too long: %d bytes, limit %d", h.Length, maxBytes)}
 	}
-	s := &BodyStream{Length: h.Length, conn: c, reusable: !h.Close && (h.Chunked || h.Length >= 0)}
+	s := &BodyStream{Length: h.Length, conn: c, deadline: c.wait.deadline, reusable: !h.Close && (h.Chunked || h.Length >= 0)}
 	resp = &Response{Status: h.Status, Fields: h.Fields}
 	if h.Length < 0 {
 		return c.receiveUnsizedBody(h, resp, s)
@@ -60,31 +67,74 @@
 }
 
 // receiveUnsizedBody is receiveBody for a body of unknown length. Most of them are short too.
-// Buffering them first keeps the request retryable until the body is complete.
+// Holding them back first keeps the request retryable, see responseWait.
 func (c *conn) receiveUnsizedBody(h *http1.Head, resp *Response, s *BodyStream) (_ *Response, reusable bool, err error) {
 	s.reader, s.remaining = c.reader, c.target.pool.cfg.MaxStreamBytes
 	if h.Chunked {
-		s.reader = http1.NewChunkedReader(c.reader)
+		s.reader = http1.NewChunkedReader(c.reader, c.hasPendingData)
+	}
+	began := time.Now()
+	buffer, complete, err := c.holdBody(s.reader)
+	if err != nil {
+		buffer.release()
+		return nil, false, unsizedBodyError(err, h.Chunked)
+	}
+	resp.Body, resp.buffer = buffer.data, buffer
+	if complete {
+		return resp, s.reusable && c.reader.Buffered() == 0, nil
 	}
-	buffer := newBodyBuffer(c.target.pool)
+	s.received = int64(len(buffer.data))
+	s.remaining -= s.received
+	s.lastData = c.wait.lastData
+	resp.Remaining, resp.HoldDelay = s, time.Since(began)
+	return resp, false, nil
+}
+
+// holdBody receives a body of unknown length until it is complete or has to be passed on. The caller must
+// release the buffer, also after an error.
+func (c *conn) holdBody(body io.Reader) (buffer bodyBuffer, complete bool, err error) {
+	buffer = newBodyBuffer(c.target.pool)
+	c.holdBack()
 	for len(buffer.data) < SmallResponseBytes {
 		if len(buffer.data) == cap(buffer.data) && !buffer.grow() {
 			break
 		}
-		n, err := s.reader.Read(buffer.data[len(buffer.data):cap(buffer.data)])
+		n, err := body.Read(buffer.data[len(buffer.data):cap(buffer.data)])
+		if n > 0 && len(buffer.data) == 0 {
+			c.limitHold()
+		}
 		buffer.data = buffer.data[:len(buffer.data)+n]
-		if err == io.EOF {
-			resp.Body, resp.buffer = buffer.data, buffer
-			return resp, s.reusable && c.reader.Buffered() == 0, nil
+		switch err {
+		case nil:
+			continue
+		case io.EOF:
+			return buffer, true, nil
 		}
-		if err != nil {
-			buffer.release()
-			return nil, false, unsizedBodyError(err, h.Chunked)
+		switch c.decideHold(err) {
+		case passOn:
+			return buffer, false, nil
+		case holdFailed:
+			return buffer, false, err
 		}
 	}
-	s.remaining -= int64(len(buffer.data))
-	resp.Body, resp.buffer, resp.Remaining = buffer.data, buffer, s
-	return resp, false, nil
+	return buffer, false, nil
+}
+
+// readDeadline returns when the wait for more of the body ends.
+func (s *BodyStream) readDeadline() time.Time {
+	now := time.Now()
+	if s.Length > SmallResponseBytes || s.received > SmallResponseBytes {
+		return now.Add(streamStallTimeout)
+	}
+	lastByteDue := s.deadline.Add(lateResponseGrace)
+	if s.Length >= 0 || s.received < probablyLongBytes {
+		return lastByteDue
+	}
+	silentSince := now
+	if !s.lastData.IsZero() {
+		silentSince = s.lastData
+	}
+	return later(later(lastByteDue, silentSince.Add(maxSilence)), now.Add(minStreamWait))
 }
 
 // WaitForData waits until more of the body or its end has arrived, or until receiving has failed, which
@@ -100,7 +150,7 @@
 	if s.conn.reader.Buffered() > 0 {
 		return nil
 	}
-	s.conn.SetReadDeadline(time.Now().Add(streamStallTimeout))
+	s.conn.SetReadDeadline(s.readDeadline())
 	return socketstate.WaitReadable(s.conn.Conn)
 }
 
@@ -136,12 +186,16 @@
 		}
 		return 0, errors.New("response body exceeds the maximum length of a streamed response")
 	}
-	s.conn.SetReadDeadline(time.Now().Add(streamStallTimeout))
+	s.conn.SetReadDeadline(s.readDeadline())
 	if s.aborted.Load() {
 		return 0, net.ErrClosed
 	}
 	n, err := s.reader.Read(b[:min(int64(len(b)), s.remaining)])
 	s.remaining -= int64(n)
+	s.received += int64(n)
+	if n > 0 {
+		s.lastData = time.Time{}
+	}
 	if err != io.EOF {
 		return n, err
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -35,7 +35,7 @@
 	ReuseDelay time.Duration
 
 	MaxResponseBytes     int           // longest buffered body; 0 for 1 MiB
-	ResponseStallTimeout time.Duration // longest pause inside a response; 0 for 0.5 s
+	ResponseStallTimeout time.Duration // longest pause inside a response; 0 for 0.5 s, or for no limit with MaxStreamBytes
 
 	// MaxStreamBytes is the longest response that is streamed: a response over
 	// SmallResponseBytes is then forwarded while it is received, and MaxResponseBytes does not
@@ -137,7 +137,7 @@
 	if cfg.MaxResponseBytes == 0 {
 		cfg.MaxResponseBytes = defaultMaxResponseBytes
 	}
-	if cfg.ResponseStallTimeout == 0 {
+	if cfg.ResponseStallTimeout == 0 && cfg.MaxStreamBytes == 0 {
 		cfg.ResponseStallTimeout = defaultStallTimeout
 	}
 	p := &Pool{cfg: cfg, now: time.Now, targets: map[string]*target{}}
