upstream: a forwarded body has a deadline, counted from its caller's last byte

The time counted from the last byte that the sidecar had sent, and until then only each write had a limit of 10 s; the caller's kernel takes some 4 MB long before.

The response is due one budget after the last moment at which the caller is known not to have written its last byte: no input was pending, or more than 4.5 MiB are missing. Writes end then, and the request, which has not run, is refused. Writes after the end of a call fail, whatever deadline is set meanwhile.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -154,7 +154,11 @@
 		p.closeConn(c, true)
 		return nil, balance.ConnectError
 	}
-	if err := c.send(call, r); err != nil {
+	if r.Upload != nil {
+		deadline = sentAt.Add(budget)
+	}
+	deadline, err := c.send(call, r, deadline)
+	if err != nil {
 		result := balance.NotSent
 		if !errors.Is(err, errBodyIncomplete) && classifyFault(err) != localFault {
 			result = c.unsentResult(call)
@@ -164,7 +168,6 @@
 		return nil, result
 	}
 	if r.Upload != nil {
-		deadline = r.Upload.SentAt().Add(budget)
 		c.SetDeadline(deadline)
 	}
 	resp, reusable, result, err := c.receive(r, deadline)
@@ -306,20 +309,21 @@
 	return sentAt, budget
 }
 
-// send writes the request, whose head has been prepared. An error means that the last byte was
-// not written, so the endpoint has not started to execute the request.
-func (c *conn) send(call *Call, r *Request) error {
+// send writes the request, whose head has been prepared, and returns when its response is due. That is
+// the deadline, or later for an Upload. An error means that the last byte was not written, so the
+// endpoint has not started to execute the request.
+func (c *conn) send(call *Call, r *Request, deadline time.Time) (due time.Time, err error) {
 	if r.Upload != nil {
-		return c.upload(call, c.writeBuf, r.Upload)
+		return c.forwardBody(call, c.writeBuf, r.Upload, deadline)
 	}
 	if len(r.Body) > 0 && len(c.writeBuf)+len(r.Body) > writeBufferSize {
 		buffers := net.Buffers{c.writeBuf, r.Body}
-		_, err := buffers.WriteTo(c.Conn)
-		return err
+		_, err = buffers.WriteTo(c.Conn)
+		return deadline, err
 	}
 	c.writeBuf = append(c.writeBuf, r.Body...)
-	_, err := c.Write(c.writeBuf)
-	return err
+	_, err = c.Write(c.writeBuf)
+	return deadline, err
 }
 
 // appendHead appends the head of the request, including X-Budget-Ms.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -96,10 +96,10 @@
 	}
 }
 
-// SetWriteDeadline implements net.Conn.
+// SetWriteDeadline implements net.Conn. After the end of the call all writes fail.
 func (c *conn) SetWriteDeadline(t time.Time) error {
 	err := c.Conn.SetWriteDeadline(t)
-	if c.aborted.Load() {
+	if c.aborted.Load() || c.endsBy.Load() != 0 { // the end of the call may have come before
 		return c.Conn.SetWriteDeadline(expiredDeadline)
 	}
 	return err
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -19,9 +19,9 @@
 	Length    int64         // of the whole body in bytes; -1 for chunked
 	Done      chan struct{} // closed when no attempt uses the Upload any more
 
-	// ResponseTimeout is the time for the response, counted from the last byte of the body. It
-	// applies if Incomplete is not nil and returns true; otherwise the time left until the
-	// deadline of the attempt applies, also counted from the last byte.
+	// ResponseTimeout is the time for the response, counted from when the caller may have written the
+	// last byte of the body: from the last moment at which Incomplete returned true, or at which too much
+	// of the body was missing. Without such a moment the deadline of the attempt applies.
 	ResponseTimeout time.Duration
 
 	// Incomplete reports whether the last byte of the body is known not to have arrived at this
@@ -82,57 +82,97 @@
 // endpoint's fault.
 var errBodyIncomplete = errors.New("request body not received completely")
 
-// uploadWriteTimeout bounds the write of one piece of a body to an endpoint.
-const uploadWriteTimeout = 10 * time.Second
-
-// upload sends the head and then the body, piece by piece as it is received.
-func (c *conn) upload(call *Call, head []byte, u *Upload) error {
-	buffer := c.target.pool.newCopyBuffer()
-	defer buffer.Release()
-	chunked := u.Length < 0
-	write := func(prefix, data []byte) error {
-		if call.Ended() {
-			return net.ErrClosed
-		}
-		c.SetWriteDeadline(time.Now().Add(uploadWriteTimeout))
-		buffers := net.Buffers{prefix, data}
-		if chunked && len(data) > 0 {
-			prefix = strconv.AppendInt(prefix, int64(len(data)), 16)
-			buffers = net.Buffers{append(prefix, "\r\n"...), data, []byte("\r\n")}
-		}
-		_, err := buffers.WriteTo(c.Conn)
-		return err
+// maxUnreadBytes is how many bytes of a body may lie in the buffers of the caller's machine and this
+// one, as Linux sizes them by default. If more are to come, the caller cannot have written its last byte.
+const maxUnreadBytes = 4<<20 + 512<<10
+
+// bodyForwarder forwards the body of an Upload on a connection.
+type bodyForwarder struct {
+	conn   *conn
+	call   *Call
+	upload *Upload
+	buffer *CopyBuffer
+	unread int64 // bytes of the body that have not been read; negative if the length is unknown
+
+	// due is when the response is due. The caller counts its time from its last byte, which it may have
+	// written long before it is read here if the endpoint is slow. due is moved as long as the last byte
+	// is known to be still to come.
+	due time.Time
+}
+
+// forwardBody sends the head and then the body, piece by piece as it is received. The response is
+// due at the given time, counted as if the last byte had arrived. It returns when the response is due.
+func (c *conn) forwardBody(call *Call, head []byte, u *Upload, due time.Time) (time.Time, error) {
+	f := &bodyForwarder{conn: c, call: call, upload: u, buffer: c.target.pool.newCopyBuffer(), unread: u.Length, due: due}
+	defer f.buffer.Release()
+	if u.Length >= 0 {
+		f.unread -= int64(len(u.Buffered))
 	}
-	if err := write(head, u.Buffered); err != nil {
-		return err
+	if err := f.write(head, u.Buffered); err != nil {
+		return f.due, err
 	}
 	if !u.Commit() {
-		return net.ErrClosed
+		return f.due, net.ErrClosed
 	}
-	for {
-		n, err := u.Remaining.Read(buffer.Bytes())
-		if u.isAborted() {
-			u.finish(errCallerGone)
-			return errBodyIncomplete
-		}
-		if n > 0 {
-			if err := write(nil, buffer.Bytes()[:n]); err != nil {
-				return err
-			}
-		}
-		if err == io.EOF {
-			break
-		}
-		if err != nil {
-			u.finish(err)
-			return errBodyIncomplete
+	for complete := false; !complete; {
+		var err error
+		if complete, err = f.forwardPiece(); err != nil {
+			return f.due, err
 		}
 	}
-	if chunked {
-		if err := write([]byte("0\r\n\r\n"), nil); err != nil {
-			return err
+	if u.Length < 0 {
+		if err := f.write([]byte("0\r\n\r\n"), nil); err != nil {
+			return f.due, err
 		}
 	}
 	u.finish(nil)
-	return nil
+	return f.due, nil
+}
+
+// forwardPiece reads what has arrived of the body and writes it. It reports whether the body is complete.
+func (f *bodyForwarder) forwardPiece() (complete bool, err error) {
+	outstanding := f.lastByteOutstanding()
+	n, err := f.upload.Remaining.Read(f.buffer.Bytes())
+	if outstanding {
+		f.due = later(f.due, time.Now().Add(f.upload.ResponseTimeout))
+	}
+	if f.upload.isAborted() {
+		f.upload.finish(errCallerGone)
+		return false, errBodyIncomplete
+	}
+	if n > 0 {
+		f.unread -= int64(n)
+		if err := f.write(nil, f.buffer.Bytes()[:n]); err != nil {
+			return false, err
+		}
+	}
+	switch err {
+	case nil:
+		return false, nil
+	case io.EOF:
+		return true, nil
+	}
+	f.upload.finish(err)
+	return false, errBodyIncomplete
+}
+
+// lastByteOutstanding reports whether the caller is known not to have written the last byte of the
+// body yet.
+func (f *bodyForwarder) lastByteOutstanding() bool {
+	return f.unread > maxUnreadBytes || f.upload.Incomplete != nil && f.upload.Incomplete()
+}
+
+// write writes a prefix and then data of the body, until the response is due.
+func (f *bodyForwarder) write(prefix, data []byte) error {
+	if f.call.Ended() {
+		return net.ErrClosed
+	}
+	f.conn.SetWriteDeadline(f.due)
+	buffers := net.Buffers{prefix, data}
+	if f.upload.Length < 0 && len(data) > 0 {
+		prefix = strconv.AppendInt(prefix, int64(len(data)), 16)
+		buffers = net.Buffers{append(prefix, "\r\n"...), data, []byte("\r\n")}
+	}
+	_, err := buffers.WriteTo(f.conn.Conn)
+	return err
 }
