sidecar: the id of an open request stays known, in both processes of an upgrade

The ids of open requests are kept apart from those of ended ones, whose retention time begins at their end.

--- a/internal/fleet/handover.go
+++ b/internal/fleet/handover.go
@@ -24,6 +24,7 @@
 	stateEndMessage  = 's' // from the previous process: the last part of the state, with the listener
 	readyMessage     = 'r' // from the successor: it is ready to serve requests
 	connMessage      = 'c' // from the previous process: a caller's connection, with the bytes read from it
+	eventsMessage    = 'e' // from either process: request events; unknown to earlier versions
 )
 
 const (
@@ -55,8 +56,14 @@
 	mu   sync.Mutex // serializes sending
 	done chan struct{}
 	once sync.Once
+
+	onRequestEvent func(RequestEvent) // see HandleRequestEvents
 }
 
+// HandleRequestEvents sets the function that receives the request events of the other process. It is
+// called before ReceiveConns, or in onConnect of ListenForSuccessor.
+func (l *HandoverLink) HandleRequestEvents(handle func(RequestEvent)) { l.onRequestEvent = handle }
+
 func newHandoverLink(c *net.UnixConn) *HandoverLink {
 	return &HandoverLink{conn: c, done: make(chan struct{})}
 }
@@ -169,6 +176,7 @@
 		if err != nil {
 			return
 		}
+		l.receiveEvents(kind, buffered)
 		if file == nil || kind != connMessage {
 			continue
 		}
@@ -180,6 +188,13 @@
 	}
 }
 
+// receiveEvents handles a message if it has request events.
+func (l *HandoverLink) receiveEvents(kind byte, text []byte) {
+	if kind == eventsMessage && l.onRequestEvent != nil {
+		decodeEvents(text, l.onRequestEvent)
+	}
+}
+
 // TakeOver requests the listener and the state of the running process that has its handover
 // socket in the directory dir. It decodes the state from JSON into the value that state points
 // to. If there is no such process, the link, the listener and the error are nil. After an
@@ -354,15 +369,16 @@
 			continue
 		}
 		onConnect(link)
-		buf := make([]byte, 16)
+		buf := make([]byte, maxEventBytes+1)
 		for {
-			kind, _, file, err := link.receive(buf)
+			kind, text, file, err := link.receive(buf)
 			if file != nil {
 				file.Close()
 			}
 			if err != nil {
 				break
 			}
+			link.receiveEvents(kind, text)
 			if kind == readyMessage {
 				onReady(link)
 			}
--- a/internal/httpserver/forward.go
+++ b/internal/httpserver/forward.go
@@ -18,10 +18,11 @@
 		c.rejectWith(noRoomResponse(p))
 		return false, false
 	}
-	if !p.recordID() {
+	if !p.beginID() {
 		b.release()
 		return false, c.rejectRequest(req, http.StatusConflict, errDuplicateID)
 	}
+	defer p.finishID()
 	c.streamsBody = b != nil && b.rest != nil
 	c.setDiscardInput(!c.streamsBody)
 	p, r, failure := c.submit(p, b)
--- a/internal/httpserver/platform_router.go
+++ b/internal/httpserver/platform_router.go
@@ -60,6 +60,9 @@
 	return r
 }
 
+// SeenIDs returns the ids of requests that the router remembers.
+func (r *PlatformRouter) SeenIDs() *SeenIDs { return r.seenIDs }
+
 // SetConfig replaces the configuration for all later requests.
 func (r *PlatformRouter) SetConfig(config *PlatformConfig) {
 	r.seenIDs.SetLongestDeadline(config.longestDeadline())
--- a/internal/httpserver/router.go
+++ b/internal/httpserver/router.go
@@ -55,5 +55,12 @@
 	return nil, &Rejection{Status: status, Err: err}
 }
 
-// recordID records the request's id and reports whether it is new.
-func (p *Plan) recordID() bool { return p.generatedID || p.seenIDs.record(p.callID) }
+// beginID records the request's id and reports whether it is new. If it is, finishID must be called
+// at the end of the request.
+func (p *Plan) beginID() bool { return p.generatedID || p.seenIDs.begin(p.callID) }
+
+func (p *Plan) finishID() {
+	if !p.generatedID {
+		p.seenIDs.finish(p.callID)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -82,7 +82,8 @@
 	previous         *fleet.HandoverLink // to the process that this one takes over from, until it exits
 	successor        *fleet.HandoverLink // to the process that takes over from this one
 	successorServing bool
-	terminating      bool // SIGTERM was received
+	requestEvents    *fleet.RequestEvents // for the successor; set when the state for it is collected
+	terminating      bool                 // SIGTERM was received
 }
 
 // Run serves until ctx is done, then drains: it responds to the requests that it has received
@@ -111,6 +112,7 @@
 	Endpoints  []discovery.Endpoint `json:"nodes"`  // current list
 	KnownNames []string             `json:"listed"` // names of all endpoints that have been listed
 	Learned    pool.LearnedState    `json:"memory"`
+	RequestIDs *requestIDs          `json:"request_ids,omitempty"` // absent from earlier versions, which do not accept request events
 }
 
 func (s *Sidecar) run(ctx context.Context, reload <-chan os.Signal) error {
@@ -178,6 +180,9 @@
 		s.pool.Restore(inherited.Learned)
 	}
 	s.router = httpserver.NewPlatformRouter(s.pool, routerConfig)
+	if s.previous != nil {
+		s.shareRequestIDs(s.previous, inherited.RequestIDs)
+	}
 	s.server = httpserver.NewServer(s.router, 1, httpserver.Timeouts{})
 	s.applyLimits()
 	if s.operatorState, err = fleet.OpenOperatorStore(dir, s.applyOperatorState); err != nil {
@@ -259,7 +264,7 @@
 
 // handoverSnapshot returns the state to send to the successor.
 func (s *Sidecar) handoverSnapshot() any {
-	return handoverState{Endpoints: s.pool.List().Endpoints, KnownNames: s.pool.EverListedNames(), Learned: s.pool.LearnedState()}
+	return handoverState{Endpoints: s.pool.List().Endpoints, KnownNames: s.pool.EverListedNames(), Learned: s.pool.LearnedState(), RequestIDs: s.handOverRequestIDs()}
 }
 
 // takeOverFrom takes over caller connections from the process at the other end of link,
@@ -267,6 +272,7 @@
 func (s *Sidecar) takeOverFrom(link *fleet.HandoverLink) {
 	go func() {
 		link.ReceiveConns(s.server.Resume)
+		s.router.SeenIDs().OtherProcessEnded()
 		s.mu.Lock()
 		s.previous = nil
 		s.mu.Unlock()
@@ -292,11 +298,15 @@
 func (s *Sidecar) successorStarted(link *fleet.HandoverLink) {
 	s.mu.Lock()
 	s.successor = link
+	events := s.requestEvents
 	s.mu.Unlock()
 	slog.Info("successor process started; using half of the limits")
 	s.applyLimits()
+	link.HandleRequestEvents(s.observeRequestEvent)
+	go events.Send(link)
 	go func() {
 		<-link.Done()
+		s.router.SeenIDs().OtherProcessEnded()
 		s.mu.Lock()
 		current := s.successor == link // a newer successor may have started
 		if current {
