upstream: a new process at an old address gets no repeat meant for the old one

A request with a key took effect in two zones: at an endpoint that died, and at a new one of another name and zone at its address. The repeat went to the dead one's name, and what listens at its address was taken for it until discovery told otherwise.

A broken, refused or closed connection is a sign that the process has ended. A connection that was being opened while the address of its endpoint changed is not used any more.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -163,6 +163,7 @@
 	durationRatio  float64 // of its class at the time of sending
 	done, neverRan bool
 	late           bool        // counted by markLate as past its latency target
+	otherProcess   bool        // another process than that of endpoint may have run it
 	shortBudget    shortBudget // whether its budget explains its failure
 }
 
@@ -189,6 +190,11 @@
 	return nil
 }
 
+// mayHaveRunElsewhere reports whether an attempt may have run in another process than that of its endpoint.
+func (r *request) mayHaveRunElsewhere() bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.neverRan && a.otherProcess })
+}
+
 // classStats holds what has been measured of a class.
 type classStats struct {
 	meanSeconds, sampleCount float64
@@ -556,6 +562,9 @@
 	if c.Idempotency == Idempotent || a == nil {
 		return true
 	}
+	if c.DeduplicationScope != ScopeAll && r.mayHaveRunElsewhere() {
+		return false
+	}
 	previous := &b.endpoints[a.endpoint]
 	return c.Idempotency == IdempotentByKey && now-a.sent < c.DeduplicationWindow &&
 		(c.DeduplicationScope != ScopeZone || e.Zone == previous.Zone) && (c.DeduplicationScope != ScopeCell || e.Cell == previous.Cell)
@@ -592,6 +601,34 @@
 	return b.endpoints[a.endpoint].State == Ready && b.mayRepeat(r, &b.endpoints[a.endpoint], now)
 }
 
+// MayReachOtherProcess records that an attempt, if it is sent, may reach another process than that of
+// its endpoint, and reports whether it may be sent all the same. It may not if another attempt may have run
+// and only some endpoints deduplicate repeats: the other process may not be one of them.
+func (b *Balancer) MayReachOtherProcess(id RequestID, number int) bool {
+	r := b.requests[id]
+	if r == nil {
+		return false
+	}
+	c, a := &b.cfg.Classes[r.class], &r.attempts[number]
+	if c.Idempotency == IdempotentByKey && c.DeduplicationScope != ScopeAll {
+		a.neverRan = true // so that firstMaybeRun looks only at the other attempts
+		defer func() { a.neverRan = false }()
+		if r.firstMaybeRun() != nil {
+			return false
+		}
+	}
+	a.otherProcess = true
+	return true
+}
+
+// MayHaveReachedOtherProcess records that an attempt may have reached another process than that of its
+// endpoint.
+func (b *Balancer) MayHaveReachedOtherProcess(id RequestID, number int) {
+	if r := b.requests[id]; r != nil {
+		r.attempts[number].otherProcess = true
+	}
+}
+
 // reject rejects r if the client may repeat it at any endpoint, and reports whether it
 // did. No other code rejects requests.
 func (b *Balancer) reject(r *request, now time.Duration, reason RejectReason) bool {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -786,3 +786,38 @@
 		}
 	}
 }
+
+// A request with a key that may have run in another process than the listed one is not repeated, and the
+// repeat of one that may have run is not sent to another process, where only a group of endpoints
+// deduplicates repeats.
+func TestKeyedRequestAndOtherProcess(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		scope    DeduplicationScope
+		first    bool // the first attempt may have reached another process
+		attempts int
+		allowed  bool // for a repeat that may reach another process
+	}{
+		{"cell", ScopeCell, true, 1, true},
+		{"zone", ScopeZone, true, 1, true},
+		{"all", ScopeAll, true, 2, true},
+		{"cell, repeat", ScopeCell, false, 2, false},
+		{"zone, repeat", ScopeZone, false, 2, false},
+		{"all, repeat", ScopeAll, false, 2, true},
+	} {
+		cfg := testConfig()
+		cfg.Classes[2].DeduplicationScope = c.scope
+		b, h := newTestBalancer(t, cfg, "a", "b")
+		b.Request(0, 1, 2, 0, time.Second)
+		if c.first && !b.MayReachOtherProcess(1, 0) {
+			t.Errorf("%s: the first attempt may not be sent", c.name)
+		}
+		b.Outcome(10*ms, 1, 0, Reset, 10*ms, false)
+		if !c.first && b.MayReachOtherProcess(1, 1) != c.allowed {
+			t.Errorf("%s: a repeat that may reach another process may be sent: %t, want %t", c.name, !c.allowed, c.allowed)
+		}
+		if len(h.sends) != c.attempts {
+			t.Errorf("%s: %d attempts, want %d", c.name, len(h.sends), c.attempts)
+		}
+	}
+}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -136,7 +136,12 @@
 		return nil, result
 	}
 	observer, _ := confirmer.(ResponseObserver)
-	c.wait = responseWait{observer: observer}
+	processObserver, _ := confirmer.(ProcessObserver)
+	if processObserver != nil && p.mayBeOtherProcess(c) && !processObserver.MayReachOtherProcess() {
+		p.checkInUnused(c)
+		return nil, balance.NotSent
+	}
+	c.wait = responseWait{observer: observer, processObserver: processObserver}
 	c.SetDeadline(deadline)
 	attempt := activeAttempt{conn: c, deadline: deadline}
 	if !call.register(attempt) {
@@ -163,6 +168,7 @@
 		if !errors.Is(err, errBodyIncomplete) && classifyFault(err) != localFault {
 			result = c.unsentResult(call)
 		}
+		p.noteResult(c.target, result)
 		call.unregister(attempt)
 		p.closeConn(c, false)
 		return nil, result
@@ -187,6 +193,10 @@
 		c.SetDeadline(time.Time{})
 		return resp, result
 	}
+	if processObserver != nil && result != balance.OK && p.mayBeOtherProcess(c) {
+		processObserver.MayHaveReachedOtherProcess()
+	}
+	p.noteResult(c.target, result)
 	if ended && c.endedByCall(result) && time.Now().Before(deadline) {
 		result = balance.Cancelled
 	}
@@ -223,20 +233,29 @@
 	}
 	var dials redial
 	for {
-		got := p.checkOutReusable(name, nonIdempotent)
-		if got.conn != nil {
-			return got.conn, dials.elapsed(), balance.OK
-		}
-		if got.target == nil {
-			return nil, 0, balance.NotSent
-		}
-		c, shouldRedial, result := p.dialTarget(call, got.target, &dials, deadline)
-		if !shouldRedial {
+		c, shouldRedial, result := p.connectOnce(call, name, nonIdempotent, &dials, deadline)
+		switch {
+		case shouldRedial:
+		case c != nil && p.isRemoved(c): // the list has changed meanwhile
+			p.closeConn(c, false)
+		default:
 			return c, dials.elapsed(), result
 		}
 	}
 }
 
+// connectOnce returns an idle connection, or dials one.
+func (p *Pool) connectOnce(call *Call, name string, nonIdempotent bool, dials *redial, deadline time.Time) (c *conn, shouldRedial bool, result balance.Result) {
+	got := p.checkOutReusable(name, nonIdempotent)
+	switch {
+	case got.conn != nil:
+		return got.conn, false, balance.OK
+	case got.target == nil:
+		return nil, false, balance.NotSent
+	}
+	return p.dialTarget(call, got.target, dials, deadline)
+}
+
 // checkOutReusable checks out a connection and waits until it may be reused.
 func (p *Pool) checkOutReusable(name string, nonIdempotent bool) checkoutResult {
 	got := p.checkOut(name, nonIdempotent)
@@ -268,6 +287,7 @@
 		if shouldRedial, result = dials.recordFailure(p, t, err, deadline); shouldRedial {
 			shouldRedial = dials.sleep(ctx)
 		}
+		p.noteResult(t, result)
 	}
 	ended := call.unregister(attempt)
 	switch {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -20,6 +20,7 @@
 	writeBuf        []byte                 // request being sent
 	responseStarted bool                   // the response to the current request has started
 	idleSince       time.Time              // of the last check-in; zero before
+	dialledAt       time.Time              // when the connection was established
 	idleLink        linkedlist.Link[*conn] // element of Pool.idle
 	responseHead    http1.Head             // head of the last response; a Response may keep its fields
 	peeker          *socketstate.Peeker
@@ -44,9 +45,10 @@
 		tcpConn.SetReadBuffer(receiveBufferSize)
 	}
 	c := &conn{
-		Conn:   netConn,
-		target: t,
-		peeker: socketstate.NewPeeker(netConn),
+		Conn:      netConn,
+		target:    t,
+		dialledAt: time.Now(),
+		peeker:    socketstate.NewPeeker(netConn),
 	}
 	c.reader = bufio.NewReaderSize(c, http1.MaxHeadBytes)
 	c.idleLink.Value = c
--- a/internal/upstream/response_wait.go
+++ b/internal/upstream/response_wait.go
@@ -43,13 +43,14 @@
 
 // responseWait bounds the wait for the rest of a response that has begun.
 type responseWait struct {
-	active    bool
-	deadline  time.Time        // of the attempt
-	maxPause  time.Duration    // longest pause; 0 for no limit
-	holdUntil time.Time        // when an incomplete body is passed on; zero for never
-	lastData  time.Time        // when the last data arrived
-	observer  ResponseObserver // nil for none
-	reported  bool             // observer has been told of a pause
+	active          bool
+	deadline        time.Time        // of the attempt
+	maxPause        time.Duration    // longest pause; 0 for no limit
+	holdUntil       time.Time        // when an incomplete body is passed on; zero for never
+	lastData        time.Time        // when the last data arrived
+	observer        ResponseObserver // nil for none
+	processObserver ProcessObserver  // nil for none
+	reported        bool             // observer has been told of a pause
 }
 
 // end returns when the wait for more data ends.
@@ -73,11 +74,15 @@
 }
 
 // reportPause tells the observer of the first pause of pauseThreshold.
-func (w *responseWait) reportPause(now time.Time) {
+func (c *conn) reportPause(now time.Time) {
+	w := &c.wait
 	if w.reported || w.observer == nil || now.Sub(w.lastData) < pauseThreshold {
 		return
 	}
 	w.reported = true
+	if w.processObserver != nil && c.target.pool.mayBeOtherProcess(c) {
+		w.processObserver.MayHaveReachedOtherProcess()
+	}
 	w.observer.ResponsePaused()
 }
 
@@ -133,7 +138,7 @@
 	if c.aborted.Load() || c.graceEnded(now) || !now.Before(c.wait.end()) {
 		return false
 	}
-	c.wait.reportPause(now)
+	c.reportPause(now)
 	c.SetReadDeadline(c.wait.next())
 	return true
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -123,11 +123,14 @@
 // target is one process of an endpoint at one address.
 type target struct {
 	Target
-	pool    *Pool
-	idle    []*conn // most recently used last
-	open    int     // connections, including those being dialled
-	removed bool    // replaced or removed; its connections are not reused
-	usage   usage   // counted only if there is a reuse delay
+	pool      *Pool
+	idle      []*conn // most recently used last
+	open      int     // connections, including those being dialled
+	removed   bool    // replaced or removed; its connections are not reused
+	removedAt time.Time
+	doubt     processDoubt
+	unsettled atomic.Bool // removed is set or doubt has been; read without the mutex
+	usage     usage       // counted only if there is a reuse delay
 
 	contactAt time.Time // when it last responded or accepted a connection
 }
@@ -229,7 +232,8 @@
 // retire closes the idle connections of a target that has been replaced or removed. p.mu must
 // be held.
 func (p *Pool) retire(t *target) {
-	t.removed = true
+	t.removed, t.removedAt = true, time.Now()
+	t.unsettled.Store(true)
 	for len(t.idle) > 0 {
 		p.closeIdleConn(t.idle[len(t.idle)-1])
 	}
@@ -401,6 +405,9 @@
 		// A connection that may be stale is closed and replaced by a new one.
 		maybeStale := nonIdempotent && now.Before(p.staleUntil) && now.Sub(c.idleSince) >= maxTrustedIdle
 		if maybeStale || !c.reusable() {
+			if c.peeker.State() == socketstate.Closed {
+				t.noteSign(now)
+			}
 			p.noteStrayData(c)
 			p.closeIdleConn(c)
 			if maybeStale {
