balance: outcomes of a replaced process do not count for the one that has its name now

The measurements of an endpoint are discarded when the list reports a new start, but attempts at the old process stayed: their age counted in the mean of the new one, and their failures, samples and connect errors were added to it up to a whole budget later, so that a restarted endpoint got less than its share.

Restarts are counted, and an attempt counts for its endpoint only if there was none since it was sent.

TestOutcomesOfReplacedProcess failed before (a mean of 0.5 s, one sample, five failures, a connect backoff) and passes, like all tests of the package.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -164,6 +164,7 @@
 	done, neverRan bool
 	late           bool        // counted by markLate as past its latency target
 	otherProcess   bool        // another process than that of endpoint may have run it
+	restarts       int         // endpoint.restarts at the time of sending
 	shortBudget    shortBudget // whether its budget explains its failure
 }
 
@@ -434,6 +435,8 @@
 	}
 	e := &b.endpoints[i]
 	if entry.Since != e.Since {
+		e.restarts++
+		e.inFlight = e.inFlight[:0]
 		e.reset(now, b.rng.Float64())
 	}
 	e.setState(now, entry.State)
@@ -578,7 +581,7 @@
 	e := &b.endpoints[i]
 	ratio := b.durationRatio(r.class)
 	e.inFlight = append(e.inFlight, attemptRef{r, len(r.attempts)})
-	r.attempts = append(r.attempts, attempt{endpoint: i, sent: now, durationRatio: ratio})
+	r.attempts = append(r.attempts, attempt{endpoint: i, sent: now, durationRatio: ratio, restarts: e.restarts})
 	e.attemptRefs++
 	r.inFlight++
 	b.inFlight++
@@ -726,7 +729,10 @@
 	if r == nil || r.closed || number < 0 || number >= len(r.attempts) || r.attempts[number].done {
 		return
 	}
-	b.endpoints[r.attempts[number].endpoint].failures.add(now, pauseFailure)
+	a := &r.attempts[number]
+	if e := &b.endpoints[a.endpoint]; a.restarts == e.restarts {
+		e.failures.add(now, pauseFailure)
+	}
 	if !b.cfg.AllowConcurrentAttempts || b.retryTokens < 1 {
 		return
 	}
@@ -756,14 +762,9 @@
 	b.inTargetConcurrency.add(now, class.LatencyTarget.Seconds())
 	b.admission.servedCount++
 	b.admission.servedSeconds += elapsed.Seconds()
-	e.servedAt = now
-	took := elapsed.Seconds() / a.durationRatio
-	if e.sampleCount > 0 {
-		d := took*float64(e.sampleCount)/e.sampleSum - 1
-		b.relativeVariance += (min(d*d, 4) - b.relativeVariance) / (classWindow / 4)
+	if a.restarts == e.restarts {
+		b.recordSample(now, e, elapsed.Seconds()/a.durationRatio)
 	}
-	e.addSample(now, took)
-	e.failures.recordSuccess(now)
 	*b.zoneFailures(e.Zone) = failures{}
 	c := &b.classes[r.class]
 	if elapsed <= class.LatencyTarget {
@@ -773,21 +774,35 @@
 	c.meanSeconds += (elapsed.Seconds() - c.meanSeconds) / c.sampleCount
 }
 
+// recordSample adds a completed round trip to the measurements of an endpoint.
+func (b *Balancer) recordSample(now time.Duration, e *endpoint, seconds float64) {
+	e.servedAt = now
+	if e.sampleCount > 0 {
+		d := seconds*float64(e.sampleCount)/e.sampleSum - 1
+		b.relativeVariance += (min(d*d, 4) - b.relativeVariance) / (classWindow / 4)
+	}
+	e.addSample(now, seconds)
+	e.failures.recordSuccess(now)
+}
+
 func (b *Balancer) recordFailure(now time.Duration, a *attempt, result Result, elapsed time.Duration) {
 	e := &b.endpoints[a.endpoint]
+	if result == Error && !a.late {
+		b.admission.failedCount++
+		b.admission.failedSeconds += elapsed.Seconds()
+	}
+	if result == ConnectError || result == Timeout || result == Reset {
+		b.zoneFailures(e.Zone).add(now, 1)
+	}
+	if a.restarts != e.restarts {
+		return // the process that failed has been replaced
+	}
 	switch result {
 	case Error: // counts half, as the cause may be a tier behind the endpoint
 		e.failures.add(now, e.failures.count(now)+0.5)
-		if !a.late {
-			b.admission.failedCount++
-			b.admission.failedSeconds += elapsed.Seconds()
-		}
 	case Overloaded, Timeout, ConnectError, Reset:
 		e.failures.add(now, 1)
 	}
-	if result == ConnectError || result == Timeout || result == Reset {
-		b.zoneFailures(e.Zone).add(now, 1)
-	}
 	if result == ConnectError {
 		b.recordConnectError(e, now)
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -821,3 +821,35 @@
 		}
 	}
 }
+
+// The outcomes of attempts at a process that has been replaced, and their time in flight, do not count for the
+// process that has its name now.
+func TestOutcomesOfReplacedProcess(t *testing.T) {
+	cfg := testConfig()
+	cfg.SlowStartWindow = 0
+	b, h := newTestBalancer(t, cfg, "a")
+	results := []Result{OK, Error, Overloaded, Timeout, Reset, ConnectError}
+	for id := range results {
+		b.Request(0, RequestID(id+1), 1, 0, time.Second)
+	}
+	if len(h.sends) != len(results) {
+		t.Fatalf("%d attempts", len(h.sends))
+	}
+	b.UpdateEndpoints(100*ms, Delta, []Endpoint{{Addr: "a", State: Ready, Since: 90 * ms}})
+	e := &b.endpoints[b.indexByAddr["a"]]
+	if mean := e.mean(500 * ms); mean != 0 {
+		t.Errorf("mean %v from attempts in flight at the old process", mean)
+	}
+	b.ResponsePaused(500*ms, 2, 0)
+	for i, result := range results {
+		b.Outcome(500*ms, RequestID(i+1), 0, result, 500*ms, true)
+	}
+	if e.sampleCount != 0 || e.failures.count(500*ms) != 0 || e.connectBackoff != 0 {
+		t.Errorf("%d samples, %v failures, backoff %v from the old process", e.sampleCount, e.failures.count(500*ms), e.connectBackoff)
+	}
+	b.Request(600*ms, 10, 1, 0, time.Second)
+	b.Outcome(700*ms, 10, 0, OK, 100*ms, true)
+	if e.sampleCount != 1 || len(e.inFlight) != 0 || b.inFlight != 0 {
+		t.Errorf("%d samples, %d in flight at the endpoint, %d in all after a request to the new process", e.sampleCount, len(e.inFlight), b.inFlight)
+	}
+}
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -40,6 +40,7 @@
 	failures                failures
 	inFlight                []attemptRef
 	attemptRefs             int // attempts at this endpoint whose requests are not yet deleted
+	restarts                int // restarts of its process; attempts before the last one are not measured
 
 	servedAt, sentAt time.Duration
 	goneAt           time.Duration // when its state became Gone
