--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -97,7 +97,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if a.conn != nil {
-		a.conn.endsBy.Store(0)
+		a.conn.endsBy.Store(nil)
 	}
 	if c.first == a {
 		c.first = activeAttempt{}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -27,8 +27,8 @@
 
 	wait responseWait
 
-	aborted atomic.Bool  // the attempt was aborted; all deadlines stay in the past
-	endsBy  atomic.Int64 // when reads end because the call has ended, in Unix nanoseconds; 0 if it has not
+	aborted atomic.Bool               // the attempt was aborted; all deadlines stay in the past
+	endsBy  atomic.Pointer[time.Time] // when reads end because the call has ended; nil if it has not
 }
 
 const (
@@ -69,7 +69,8 @@
 // endAfter ends writes at once, and reads after the grace period or at the deadline. It may be called
 // while another goroutine uses the connection.
 func (c *conn) endAfter(grace time.Duration, deadline time.Time) {
-	c.endsBy.Store(earlier(time.Now().Add(grace), deadline).UnixNano())
+	end := earlier(time.Now().Add(grace), deadline)
+	c.endsBy.Store(&end)
 	c.SetWriteDeadline(expiredDeadline)
 	c.SetReadDeadline(deadline)
 }
@@ -77,7 +78,7 @@
 // graceEnded reports whether the call has ended and the grace period is over.
 func (c *conn) graceEnded(now time.Time) bool {
 	end := c.endsBy.Load()
-	return end != 0 && now.UnixNano() >= end
+	return end != nil && !now.Before(*end)
 }
 
 // SetReadDeadline implements net.Conn. The deadline is no later than endsBy.
@@ -85,8 +86,8 @@
 	for {
 		end := c.endsBy.Load()
 		limited := t
-		if end != 0 && (t.IsZero() || t.UnixNano() > end) {
-			limited = time.Unix(0, end)
+		if end != nil && (t.IsZero() || end.Before(t)) {
+			limited = *end
 		}
 		err := c.Conn.SetReadDeadline(limited)
 		switch {
@@ -101,7 +102,7 @@
 // SetWriteDeadline implements net.Conn. After the end of the call all writes fail.
 func (c *conn) SetWriteDeadline(t time.Time) error {
 	err := c.Conn.SetWriteDeadline(t)
-	if c.aborted.Load() || c.endsBy.Load() != 0 { // the end of the call may have come before
+	if c.aborted.Load() || c.endsBy.Load() != nil { // the end of the call may have come before
 		return c.Conn.SetWriteDeadline(expiredDeadline)
 	}
 	return err
--- a/internal/upstream/response_wait.go
+++ b/internal/upstream/response_wait.go
@@ -171,7 +171,7 @@
 func (c *conn) decideHold(err error) holdDecision {
 	now, w := time.Now(), &c.wait
 	switch {
-	case !errors.Is(err, os.ErrDeadlineExceeded) || now.Before(w.holdUntil) || c.endsBy.Load() != 0 || c.aborted.Load():
+	case !errors.Is(err, os.ErrDeadlineExceeded) || now.Before(w.holdUntil) || c.endsBy.Load() != nil || c.aborted.Load():
 		return holdFailed
 	case now.Before(w.deadline.Add(-holdMargin)) || now.Sub(w.lastData) < maxSilence:
 		return passOn
