httpserver: connections in the middle of a request stay within the memory limit

Callers saw all connections reset, as the process was killed for its memory: 249 MB of 64 with 1,365 clients that send heads of 1,500 short fields, 66 MB with clients that write 2 kB every 0.1 s.

A parsed field needs 40 bytes twice, whatever its length, an idle connection kept its last head, one that discards input after its last response had 32 KiB for 3 s, and a body that is forwarded had up to 64 KiB while waiting for its caller. Heads have a budget now, reserved before they are parsed, for requests and responses; waiting needs no buffer.

--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"unsafe"
 )
 
 // Head is the head of one HTTP/1.x message (RFC 9112). Its strings are copies that stay
@@ -38,6 +39,12 @@
 	HopByHop bool
 }
 
+// FieldMemory returns the memory, in bytes, that the fields of a head need once it is parsed, beside the
+// head itself.
+func FieldMemory(raw []byte) int64 {
+	return int64(bytes.Count(raw, []byte("\n"))) * int64(unsafe.Sizeof(Field{}))
+}
+
 // Fields are the field lines of a head in their order.
 type Fields []Field
 
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -204,6 +204,18 @@
 	rest *bodyReader
 }
 
+// WaitForData implements upstream.DataWaiter.
+func (b *checkedBody) WaitForData() error {
+	b.conn.paced.stopReadAhead()
+	if b.conn.in.Buffered() > 0 || b.rest.complete(nil) {
+		return nil
+	}
+	if err := b.conn.paced.waitForData(); err != nil {
+		return fmt.Errorf("read request body: %w", err)
+	}
+	return nil
+}
+
 // Read implements io.Reader.
 func (b *checkedBody) Read(p []byte) (int, error) {
 	b.conn.paced.stopReadAhead()
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -259,7 +259,14 @@
 		return false, false
 	}
 	c.responseDue = true
+	memory, ok := c.server.reserveHead(head)
+	defer memory.Release()
+	if !ok {
+		c.reject(http.StatusServiceUnavailable, errNoHeadMemory)
+		return false, false
+	}
 	req := &c.req
+	defer func() { req.Head = http1.Head{Method: req.Method} }() // an idle connection holds no head
 	if err := req.ParseRequest(head); err != nil {
 		c.reject(http.StatusBadRequest, err)
 		return false, false
--- a/internal/httpserver/paced_reader.go
+++ b/internal/httpserver/paced_reader.go
@@ -74,6 +74,15 @@
 		}
 	}
 	r.excludePause()
+	r.setBodyDeadline()
+	n, err := r.conn.Read(b)
+	r.bodyBytes += int64(n)
+	r.lastRead = time.Now()
+	return n, err
+}
+
+// setBodyDeadline sets the deadline of a read by the progress of the body. r.mu must be held.
+func (r *pacedReader) setBodyDeadline() {
 	deadline := r.bodyStart.Add(bodyRateGrace + time.Duration(r.bodyBytes)*time.Second/minBodyRate)
 	if stall := time.Now().Add(bodyStallTimeout); stall.Before(deadline) {
 		deadline = stall
@@ -82,10 +91,21 @@
 	if r.stopped.Load() { // stop may have run before the deadline was set
 		r.conn.SetReadDeadline(expiredDeadline)
 	}
-	n, err := r.conn.Read(b)
-	r.bodyBytes += int64(n)
+}
+
+// waitForData waits until Read has something to return, or the deadline that Read would have has
+// expired. The time counts as time of the caller.
+func (r *pacedReader) waitForData() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.bodyStart.IsZero() || r.ahead != nil && len(r.ahead.data) > 0 {
+		return nil
+	}
+	r.excludePause()
+	r.setBodyDeadline()
+	err := socketstate.WaitReadable(r.conn)
 	r.lastRead = time.Now()
-	return n, err
+	return err
 }
 
 // excludePause moves the start of the body by the time since the last read if bytes have
--- a/internal/httpserver/respond.go
+++ b/internal/httpserver/respond.go
@@ -38,23 +38,30 @@
 	return keepAlive
 }
 
-// linger discards input until the caller has had time to read the last response.
+// linger discards input until the caller has had time to read the last response. It needs no buffer of
+// its own while it waits, as all connections may linger at the same time.
 func (c *callerConn) linger() {
 	c.setState(stateRejected, time.Now().Add(lingerTimeout))
 	closeWrite(c.conn)
-	buf := copyBuffers.Get().(*[]byte)
-	defer copyBuffers.Put(buf)
 	for n := 0; n < maxLingerBytes; {
-		k, err := c.in.Read(*buf)
-		n += k
-		if err != nil {
-			socketstate.Discard(c.conn, *buf) // unread input would make the close a reset and lose the response
+		if _, err := c.in.Peek(1); err != nil {
+			c.discardUnread()
 			return
 		}
+		k, _ := c.in.Discard(c.in.Buffered())
+		n += k
 	}
 }
 
-// copyBuffers holds buffers for discarded input and streamed responses.
+// discardUnread discards the input that has arrived, which would make the close a reset and lose the
+// response.
+func (c *callerConn) discardUnread() {
+	buf := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(buf)
+	socketstate.Discard(c.conn, *buf)
+}
+
+// copyBuffers holds buffers for discarded input.
 var copyBuffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
 
 // rejectBody rejects a request whose body could not be read.
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"gorselink/internal/acceptloop"
+	"gorselink/internal/bytebudget"
 	"gorselink/internal/linkedlist"
 )
 
@@ -25,6 +26,8 @@
 	router   Router
 	timeouts Timeouts
 
+	headMemory bytebudget.Budget // see SetHeadMemory
+
 	mu               sync.Mutex
 	maxConns         int
 	extraConns       int // connections beyond maxConns, for requests that are rejected
@@ -46,7 +49,9 @@
 // NewServer returns a Server for at most maxConns connections. Their requests are routed
 // by router.
 func NewServer(router Router, maxConns int, timeouts Timeouts) *Server {
-	return &Server{router: router, maxConns: maxConns, extraConns: ExtraConns, timeouts: timeouts.withDefaults(), drained: make(chan struct{}, 1)}
+	s := &Server{router: router, maxConns: maxConns, extraConns: ExtraConns, timeouts: timeouts.withDefaults(), drained: make(chan struct{}, 1)}
+	s.SetHeadMemory(defaultHeadMemory)
+	return s
 }
 
 // SetMaxConns changes the maximum number of connections. Excess connections close as new
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -30,12 +30,17 @@
 	bufferFraction       = 1.0 / 8 // short responses, and buffers for forwarding bodies
 	bodyFraction         = shortBodyFraction + longBodyFraction + longResponseFraction + bufferFraction
 	minBodyFraction      = 1.0 / 6
+
+	// headFraction is the part of the memory limit for request heads of many fields, reduced in the same
+	// proportion.
+	headFraction = 1.0 / 32
 )
 
 // processLimits are the limits of one process.
 type processLimits struct {
 	runtimeBytes int64 // memory limit of the Go runtime
 	callerConns  int
+	headBytes    int64 // see httpserver.Server.SetHeadMemory
 	bodies       pool.Limits
 	upstream     upstream.Limits
 }
@@ -51,6 +56,7 @@
 	return processLimits{
 		runtimeBytes: int64(memory * runtimeFraction),
 		callerConns:  connsPerSide,
+		headBytes:    part(headFraction),
 		bodies:       pool.Limits{BodyBytes: part(shortBodyFraction), LongBytes: part(longBodyFraction)},
 		upstream: upstream.Limits{
 			MaxConns:           connsPerSide,
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -250,6 +250,7 @@
 	debug.SetMemoryLimit(limits.runtimeBytes)
 	s.upstream.SetLimits(limits.upstream)
 	s.server.SetMaxConns(limits.callerConns)
+	s.server.SetHeadMemory(limits.headBytes)
 	s.pool.SetLimits(limits.bodies)
 }
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -56,7 +56,8 @@
 	HoldDelay time.Duration
 
 	memory bytebudget.Reservation
-	buffer bodyBuffer // holds Body if its length was unknown
+	head   bytebudget.Reservation // of Fields
+	buffer bodyBuffer             // holds Body if its length was unknown
 }
 
 // ReleaseBody frees the memory of Body, which must not be used any more.
@@ -70,6 +71,8 @@
 // its connection is closed.
 func (r *Response) Release() {
 	r.ReleaseBody()
+	r.Fields = nil
+	r.head.Release()
 	if r.Remaining != nil {
 		r.Remaining.close()
 		r.Remaining = nil
@@ -177,6 +180,7 @@
 		c.SetDeadline(deadline)
 	}
 	resp, reusable, result, err := c.receive(r, deadline)
+	c.moveHeadMemory(resp)
 	if observer != nil && err != nil {
 		observer.ResponseFailed(err)
 	}
@@ -414,6 +418,11 @@
 		if err != nil {
 			return nil, midResponseError(err)
 		}
+		var ok bool
+		c.headMemory.Release()
+		if c.headMemory, ok = c.target.pool.reserveHead(raw); !ok {
+			return nil, invalidResponseError{errNoHeadMemory}
+		}
 		h := &c.responseHead
 		if err := h.ParseResponse(raw); err != nil {
 			return nil, invalidResponseError{err}
--- a/internal/upstream/buffer.go
+++ b/internal/upstream/buffer.go
@@ -1,9 +1,11 @@
 package upstream
 
 import (
+	"errors"
 	"sync"
 
 	"gorselink/internal/bytebudget"
+	"gorselink/internal/http1"
 )
 
 const (
@@ -28,6 +30,28 @@
 	return memory, ok
 }
 
+// freeHeadBytes is the memory of a response's head for which nothing is reserved. The longest head needs
+// it with some 50 fields.
+const freeHeadBytes = 10 << 10
+
+// errNoHeadMemory means that the head of a response has so many fields that there is no memory for it.
+var errNoHeadMemory = errors.New("no memory available for the response head")
+
+// reserveHead reserves the memory for a response head that has not been parsed yet.
+func (p *Pool) reserveHead(raw []byte) (bytebudget.Reservation, bool) {
+	return p.bufferMemory.Reserve(max(0, int64(len(raw))+http1.FieldMemory(raw)-freeHeadBytes))
+}
+
+// moveHeadMemory leaves the memory of the head to resp, or frees it if resp is nil.
+func (c *conn) moveHeadMemory(resp *Response) {
+	if resp == nil {
+		c.headMemory.Release()
+	} else {
+		resp.head, c.headMemory = c.headMemory, bytebudget.Reservation{}
+	}
+	c.responseHead = http1.Head{}
+}
+
 // getChunk returns a chunk for which memory has been reserved.
 func (p *Pool) getChunk() *[]byte { return p.chunks.get() }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"gorselink/internal/bytebudget"
 	"gorselink/internal/http1"
 	"gorselink/internal/linkedlist"
 	"gorselink/internal/socketstate"
@@ -22,7 +23,8 @@
 	idleSince       time.Time              // of the last check-in; zero before
 	dialledAt       time.Time              // when the connection was established
 	idleLink        linkedlist.Link[*conn] // element of Pool.idle
-	responseHead    http1.Head             // head of the last response; a Response may keep its fields
+	responseHead    http1.Head             // head of the response that is being received
+	headMemory      bytebudget.Reservation // of responseHead
 	peeker          *socketstate.Peeker
 
 	wait responseWait
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -15,7 +15,7 @@
 // earlier has had no effect.
 type Upload struct {
 	Buffered  []byte        // the buffered beginning of the body
-	Remaining io.Reader     // the rest; read by one attempt at a time
+	Remaining io.Reader     // the rest; read by one attempt at a time, and waited for if it is a DataWaiter
 	Length    int64         // of the whole body in bytes; -1 for chunked
 	Done      chan struct{} // closed when no attempt uses the Upload any more
 
@@ -37,6 +37,9 @@
 	aborted bool
 }
 
+// DataWaiter waits until Read returns at once, or returns why that will not be. It needs no buffer.
+type DataWaiter interface{ WaitForData() error }
+
 // Abort stops forwarding the body, because the caller has disconnected.
 func (u *Upload) Abort() {
 	u.mu.Lock()
@@ -91,7 +94,6 @@
 	conn   *conn
 	call   *Call
 	upload *Upload
-	buffer *CopyBuffer
 	unread int64 // bytes of the body that have not been read; negative if the length is unknown
 
 	// due is when the response is due. The caller counts its time from its last byte, which it may have
@@ -103,8 +105,7 @@
 // forwardBody sends the head and then the body, piece by piece as it is received. The response is
 // due at the given time, counted as if the last byte had arrived. It returns when the response is due.
 func (c *conn) forwardBody(call *Call, head []byte, u *Upload, due time.Time) (time.Time, error) {
-	f := &bodyForwarder{conn: c, call: call, upload: u, buffer: c.target.pool.newCopyBuffer(), unread: u.Length, due: due}
-	defer f.buffer.Release()
+	f := &bodyForwarder{conn: c, call: call, upload: u, unread: u.Length, due: due}
 	if u.Length >= 0 {
 		f.unread -= int64(len(u.Buffered))
 	}
@@ -129,10 +130,19 @@
 	return f.due, nil
 }
 
-// forwardPiece reads what has arrived of the body and writes it. It reports whether the body is complete.
+// forwardPiece reads what has arrived of the body and writes it. It reports whether the body is complete. A
+// buffer is used only meanwhile, so that slow callers hold none.
 func (f *bodyForwarder) forwardPiece() (complete bool, err error) {
 	outstanding := f.lastByteOutstanding()
-	n, err := f.upload.Remaining.Read(f.buffer.Bytes())
+	if waiter, ok := f.upload.Remaining.(DataWaiter); ok {
+		err = waiter.WaitForData()
+	}
+	buffer := f.conn.target.pool.newCopyBuffer()
+	defer buffer.Release()
+	n := 0
+	if err == nil {
+		n, err = f.upload.Remaining.Read(buffer.Bytes())
+	}
 	if outstanding {
 		f.due = later(f.due, time.Now().Add(f.upload.ResponseTimeout))
 	}
@@ -142,7 +152,7 @@
 	}
 	if n > 0 {
 		f.unread -= int64(n)
-		if err := f.write(nil, f.buffer.Bytes()[:n]); err != nil {
+		if err := f.write(nil, buffer.Bytes()[:n]); err != nil {
 			return false, err
 		}
 	}
