--- a/internal/sidecar/memory_limit_test.go
+++ b/internal/sidecar/memory_limit_test.go
@@ -251,6 +251,7 @@
 // memoryTestSidecar is a sidecar that may have several processes, whose memory is watched.
 type memoryTestSidecar struct {
 	program, path, tempDir, listen string
+	console                        string // of the process that was started last
 
 	mu    sync.Mutex
 	pids  []int
@@ -289,6 +290,7 @@
 func (s *memoryTestSidecar) start(t *testing.T) {
 	t.Helper()
 	console := isolatedAddr(t)
+	s.console = console
 	cmd := exec.Command(s.program)
 	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+s.path, "ROUTER_CONSOLE="+console, "TMPDIR="+s.tempDir)
 	if err := cmd.Start(); err != nil {
