fleet: handed-over connections survive events that the previous process has not read

Since both processes exchange events of requests, the previous one may end without having read some; the kernel then reports a reset to the successor before the messages that are still queued, and the successor took it for the end of the link.

A read that fails with a reset is repeated, which returns what is queued.

--- a/internal/fleet/handover.go
+++ b/internal/fleet/handover.go
@@ -105,6 +105,11 @@
 func (l *HandoverLink) receive(buf []byte) (kind byte, text []byte, file *os.File, err error) {
 	oob := make([]byte, syscall.CmsgSpace(4))
 	n, oobn, flags, _, err := l.conn.ReadMsgUnix(buf, oob)
+	if errors.Is(err, syscall.ECONNRESET) {
+		// The other process has ended without reading all messages. What it has sent before can
+		// still be read.
+		n, oobn, flags, _, err = l.conn.ReadMsgUnix(buf, oob)
+	}
 	if err != nil {
 		return 0, nil, nil, err
 	}
