--- a/internal/fakeserver/standin_test.go
+++ b/internal/fakeserver/standin_test.go
@@ -96,6 +96,7 @@
 	if took := timed(func() { post(n, "a") }); took > 150*time.Millisecond {
 		t.Logf("response of a warm node took %v; the machine may be busy", took)
 	}
+	eventually(t, "end of the first request at the node", func() bool { return n.OpenRequests() == 0 })
 	n.SetMode(ModeFreeze)
 	done := make(chan int)
 	go func() { s, _, _ := post(n, "held"); done <- s }()
