--- a/review/second/lab.go
+++ b/review/second/lab.go
@@ -35,6 +35,7 @@
 	record *os.File
 	procs  []*process
 	closed bool
+	sent   int // usual requests
 }
 
 // note writes a line with its time to the record.
@@ -83,22 +84,35 @@
 	c.write(l, path)
 	tmp := filepath.Join(l.temp, c.Name+"-tmp")
 	l.must(os.MkdirAll(tmp, 0o700))
+	return l.launch(name, path, l.deployKey("run"), "ROUTER_NAME="+c.Name, "ROUTER_LISTEN="+c.Listen, "ROUTER_DISCOVERY="+c.Discovery, "ROUTER_CONFIG="+path, "TMPDIR="+tmp)
+}
+
+// daemon starts the program of the run command as a daemon of several services, with this configuration.
+func (l *lab) daemon(text string) *process {
+	name := fmt.Sprintf("daemon-%d", len(l.procs))
+	path := filepath.Join(l.temp, name+".toml")
+	l.must(os.WriteFile(path, []byte(text), 0o600))
+	return l.launch(name, path, l.deployKey("run")+" serve --config "+path)
+}
+
+// launch starts a command.
+func (l *lab) launch(name, path, command string, env ...string) *process {
 	logPath := filepath.Join(l.temp, name+".log")
 	out, err := os.Create(logPath)
 	l.must(err)
-	cmd := exec.Command("/bin/sh", "-c", l.deployKey("run"))
+	cmd := exec.Command("/bin/sh", "-c", command)
 	cmd.Dir = l.root
-	cmd.Env = append(os.Environ(), "ROUTER_NAME="+c.Name, "ROUTER_LISTEN="+c.Listen, "ROUTER_DISCOVERY="+c.Discovery, "ROUTER_CONFIG="+path, "TMPDIR="+tmp)
+	cmd.Env = append(os.Environ(), env...)
 	cmd.Stdout, cmd.Stderr = out, out
 	l.must(cmd.Start())
 	p := &process{cmd: cmd, config: path, exited: make(chan struct{}), log: logPath}
 	go func() {
 		err := cmd.Wait()
-		l.note("sidecar %s exited: %v", name, err)
+		l.note("process %s exited: %v", name, err)
 		close(p.exited)
 	}()
 	l.procs = append(l.procs, p)
-	l.note("sidecar %s started, pid %d", name, cmd.Process.Pid)
+	l.note("process %s started, pid %d", name, cmd.Process.Pid)
 	return p
 }
 
@@ -115,6 +129,14 @@
 	}
 }
 
+// reload replaces the configuration of a daemon.
+func (l *lab) reload(p *process, text string) {
+	l.must(os.WriteFile(p.config+".new", []byte(text), 0o600))
+	l.must(os.Rename(p.config+".new", p.config))
+	l.note("SIGHUP with a new configuration")
+	p.signal(syscall.SIGHUP)
+}
+
 // waitReady waits until the sidecar says that it is ready.
 func (l *lab) waitReady(c config) {
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
@@ -148,8 +170,9 @@
 
 // usual sends n reads of campaigns, one after the other.
 func (l *lab) usual(c config, n int, pause time.Duration) {
-	for i := range n {
-		a := send(c.Listen, call{method: "GET", path: "/campaign-view/1", id: fmt.Sprintf("%016x", 0x1000+i), budget: 1500 * time.Millisecond, wait: 2500 * time.Millisecond})
+	for range n {
+		l.sent++
+		a := send(c.Listen, call{method: "GET", path: "/campaign-view/1", id: fmt.Sprintf("%016x", 0x1000+l.sent), budget: 1500 * time.Millisecond, wait: 2500 * time.Millisecond})
 		l.note("client: usual request: %v", a)
 		time.Sleep(pause)
 	}
@@ -207,7 +230,7 @@
 	Mode                    string // push or ask
 	Classes                 []class
 	MayDuplicate            bool
-	MemoryMB                int
+	MemoryMB, Sockets       int
 	Console                 string
 }
 
@@ -248,6 +271,9 @@
 	if c.MemoryMB == 0 {
 		c.MemoryMB = 192
 	}
+	if c.Sockets == 0 {
+		c.Sockets = 512
+	}
 	settings := object{
 		"Me": 0, "NInstances": 1, "Zone": 0, "Zones": []string{"hall-a", "hall-b", "hall-c"},
 		"Tier": 0, "Tiers": []string{"gateway", "ledger"}, "Kinds": []string{"gw-fast", "gw-std"},
@@ -262,7 +288,7 @@
 	}
 	text, err := json.MarshalIndent(object{
 		"name": c.Name, "listen": c.Listen, "discovery": c.Discovery, "seed": "8c1f30d27a5be964",
-		"limits": object{"cores": 1.0, "memory_mb": c.MemoryMB, "sockets": 512},
+		"limits": object{"cores": 1.0, "memory_mb": c.MemoryMB, "sockets": c.Sockets},
 		"known":  c.Known, "settings": settings, "console": c.Console,
 	}, "", " ")
 	l.must(err)
@@ -286,6 +312,18 @@
 	os.Exit(runCase(run, os.Args[2], os.Args[3]))
 }
 
+// noteLogs notes the ends of the logs of all processes.
+func (l *lab) noteLogs() {
+	for _, p := range l.procs {
+		if text, err := os.ReadFile(p.log); err == nil {
+			lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+			for _, line := range lines[max(0, len(lines)-40):] {
+				l.note("log of pid %d: %s", p.cmd.Process.Pid, line)
+			}
+		}
+	}
+}
+
 func runCase(run func(*lab) (bool, string), folder, root string) (code int) {
 	record, err := os.Create(filepath.Join(folder, "record.txt"))
 	if err != nil {
@@ -301,6 +339,7 @@
 	defer l.close()
 	defer func() {
 		if s, ok := recover().(stop); ok {
+			l.noteLogs()
 			l.note("COULD NOT RUN: %s", s.reason)
 			fmt.Println("could not run:", s.reason)
 			code = couldNot
@@ -321,14 +360,7 @@
 	}()
 	l.note("trouble: %t", l.trouble)
 	isBroken, why := run(l)
-	for _, p := range l.procs {
-		if text, err := os.ReadFile(p.log); err == nil {
-			lines := strings.Split(strings.TrimSpace(string(text)), "\n")
-			for _, line := range lines[max(0, len(lines)-40):] {
-				l.note("log of pid %d: %s", p.cmd.Process.Pid, line)
-			}
-		}
-	}
+	l.noteLogs()
 	word := map[bool]string{true: "BROKEN", false: "HELD"}[isBroken]
 	l.note("%s: %s", word, why)
 	fmt.Printf("%s: %s\n", word, why)
