--- a/review/second/stress.go
+++ b/review/second/stress.go
@@ -17,12 +17,25 @@
 func stress(l *lab) (bool, string) {
 	mode := os.Getenv("MODE")
 	hang := strings.Contains(mode, "hang")
+	keyed := strings.Contains(mode, "keyed")
+	const window = 500 * time.Millisecond
+	cells, all := []*memory{newMemory(), newMemory(), newMemory()}, newMemory()
 	var known []entry
 	var endpoints []*endpoint
 	for i := range 6 {
 		e := l.newEndpoint(fmt.Sprintf("s-%d", i), "", nil)
 		e.serve = func(c net.Conn, r *request) {
 			x := rand.Float64()
+			if r.key != "" {
+				group := all
+				if strings.HasPrefix(r.URL.Path, "/payment") {
+					group = cells[i/2]
+				}
+				group.run(r.key, window+170*time.Millisecond)
+				if x /= 2; x >= 0.06 && x < 0.09 { // more failures, and none that says that it has not run
+					x = 0.05
+				}
+			}
 			switch {
 			case hang && i < 2:
 				time.Sleep(6 * time.Second)
@@ -50,10 +63,14 @@
 			answer(c, 200, body)
 		}
 		endpoints = append(endpoints, e)
-		known = append(known, entry{e.name, e.addr, "hall-a", "gw-fast", i, "in_service", 1, 0})
+		known = append(known, entry{e.name, e.addr, "hall-a", "gw-fast", i / 2, "in_service", 1, 0})
 	}
 	d := l.newDiscovery(41, known...)
 	c := config{Name: "n1", Listen: l.freeAddr(), Discovery: d.addr, Classes: defaultClasses(), Known: list{41, true, known}, MayDuplicate: true, Console: l.freeAddr()}
+	if keyed {
+		c.Classes[1] = class{"pledge", "guarded", "all", 0.6, 1.5, window.Seconds(), 3, 0.25, false}
+		c.Classes[3] = class{"payment", "guarded", "cell", 1.2, 3, window.Seconds(), 9, 0.2, false}
+	}
 	p := l.sidecar(c)
 	l.waitReady(c)
 	type result struct {
@@ -97,6 +114,9 @@
 				if k == 0 {
 					q.method, q.body = "GET", nil
 				}
+				if keyed && (k == 1 || k == 3) {
+					q.key = "key-" + id
+				}
 				var res result
 				leaves := rand.Float64() < 0.1
 				if leaves {
@@ -198,7 +218,7 @@
 	}
 	bad := 0
 	status := map[int]int{}
-	noAnswer := 0
+	noAnswer, unsafeRuns := 0, map[string]int{}
 	for id, r := range results {
 		status[r.a.status]++
 		ran := runs[id]
@@ -209,6 +229,13 @@
 				l.note("LOST? %s class %d ran %d times, no answer: %v; sent %.3f s after the signal, reused %t", id, r.class, len(ran), r.a, r.sentAt.Sub(termAt).Seconds(), r.reused)
 			}
 		}
+		if n := cells[0].count("key-"+id) + cells[1].count("key-"+id) + cells[2].count("key-"+id) + all.count("key-"+id); n > 1 {
+			bad++
+			l.note("TWICE key-%s: %d times", id, n)
+		}
+		if n := len(ran); n > 1 && r.class > 0 && !keyed {
+			unsafeRuns[id] = n
+		}
 		if r.a.status == 200 && string(r.a.body) != "served "+id {
 			bad++
 			l.note("FOREIGN %s: %q", id, r.a.body)
@@ -233,5 +260,5 @@
 		}
 	}
 	_ = killed
-	return bad > 0, fmt.Sprintf("%s: %d bad, %d requests, statuses %v, %d without answer, process runs %t", mode, bad, len(results), status, noAnswer, p.running())
+	return bad > 0, fmt.Sprintf("%s: %d bad, %d requests, statuses %v, %d without answer, %d unsafe came twice, process runs %t", mode, bad, len(results), status, noAnswer, len(unsafeRuns), p.running())
 }
