--- a/review/second/stress.go
+++ b/review/second/stress.go
@@ -14,6 +14,51 @@
 
 func init() { cases["stress"] = stress }
 
+// serveText returns a configuration of the daemon of which some settings are drawn: those for which pools
+// and listeners are replaced, and the pool of the route.
+func serveText(listen string, known []entry, window time.Duration) string {
+	pick := func(a, b string) string {
+		if rand.IntN(2) == 0 {
+			return a
+		}
+		return b
+	}
+	pool := func(name string, part []entry) string {
+		var nodes []string
+		for _, e := range part {
+			nodes = append(nodes, fmt.Sprintf("\"%s cell=%d\"", e.Address, e.Group))
+		}
+		return fmt.Sprintf("[pools.%s]\nnodes = [%s]\nattempts = %s\nconnect_timeout = \"%s\"\nconnections = 150\n", name, strings.Join(nodes, ", "), pick("3", "4"), pick("250ms", "300ms"))
+	}
+	return fmt.Sprintf(`[process]
+name = "d1"
+memory = "256 MiB"
+descriptors = 1000
+[listeners.main]
+address = "%s"
+form = "platform"
+connections = 100
+idle_timeout = "%s"
+[classes.campaign-view]
+semantics = "safe"
+deadline = "1500ms"
+[classes.pledge]
+semantics = "%s"
+deadline = "1500ms"
+memory_span = "%[4]v"
+[classes.receipt]
+semantics = "unsafe"
+deadline = "3s"
+[classes.payment]
+semantics = "%[3]s"
+deadline = "3s"
+memory_span = "%[4]v"
+key_scope = "cell"
+[[routes]]
+pool = "%[5]s"
+`, listen, pick("8s", "9s"), map[bool]string{true: "keyed", false: "unsafe"}[strings.Contains(os.Getenv("MODE"), "keyed")], window, pick("a", "b")) + pool("a", known[:4]) + pool("b", known[2:])
+}
+
 func stress(l *lab) (bool, string) {
 	mode := os.Getenv("MODE")
 	hang := strings.Contains(mode, "hang")
@@ -71,7 +116,12 @@
 		c.Classes[1] = class{"pledge", "guarded", "all", 0.6, 1.5, window.Seconds(), 3, 0.25, false}
 		c.Classes[3] = class{"payment", "guarded", "cell", 1.2, 3, window.Seconds(), 9, 0.2, false}
 	}
-	p := l.sidecar(c)
+	var p *process
+	if strings.HasPrefix(mode, "serve") {
+		p = l.daemon(serveText(c.Listen, known, window))
+	} else {
+		p = l.sidecar(c)
+	}
 	l.waitReady(c)
 	type result struct {
 		class      int
@@ -199,6 +249,13 @@
 				time.Sleep(100 * time.Millisecond)
 			}
 		}()
+	case strings.HasPrefix(mode, "serve"):
+		go func() {
+			for time.Now().Before(end) {
+				l.reload(p, serveText(c.Listen, known, window))
+				time.Sleep(time.Duration(rand.IntN(500)) * time.Millisecond)
+			}
+		}()
 	case strings.HasPrefix(mode, "drain"):
 		go func() {
 			for time.Now().Before(end) {
