--- a/review/second/lab.go
+++ b/review/second/lab.go
@@ -239,6 +239,7 @@
 	Classes                 []class
 	MayDuplicate            bool
 	MemoryMB, Sockets       int
+	Me, Others              int // its number among the sidecars, and how many others there are
 	Console                 string
 }
 
@@ -283,7 +284,7 @@
 		c.Sockets = 512
 	}
 	settings := object{
-		"Me": 0, "NInstances": 1, "Zone": 0, "Zones": []string{"hall-a", "hall-b", "hall-c"},
+		"Me": c.Me, "NInstances": 1 + c.Others, "Zone": 0, "Zones": []string{"hall-a", "hall-b", "hall-c"},
 		"Tier": 0, "Tiers": []string{"gateway", "ledger"}, "Kinds": []string{"gw-fast", "gw-std"},
 		"Clients": object{"MarksRetry": true}, "Workload": "chain", "Specifics": object{"PassesDeadline": false},
 		"RegistryMode": c.Mode, "WeightSource": "nominal", "WorthBy": "request", "OverShareWorth": 0.1, "TickS": 0.002,
