--- a/review/second/cut_answer.go
+++ b/review/second/cut_answer.go
@@ -49,7 +49,7 @@
 	l.usual(c, 10, 50*time.Millisecond)
 	cut := 0
 	for i := range requests {
-		a := send(c.Listen, call{method: "GET", path: "/campaign-view/long", id: fmt.Sprintf("%016x", 1+i), budget: budget, wait: 12 * time.Second})
+		a := l.send(c.Listen, call{method: "GET", path: "/campaign-view/long", id: fmt.Sprintf("%016x", 1+i), budget: budget, wait: 12 * time.Second})
 		l.note("client: request %d: %v", i+1, a)
 		if !a.whole || len(a.body) < size {
 			cut++
--- a/review/second/lab.go
+++ b/review/second/lab.go
@@ -59,6 +59,7 @@
 	return seconds*1000 + time.Since(l.start).Milliseconds()
 }
 
+// must stops the case after an error.
 func (l *lab) must(err error) {
 	if err != nil {
 		panic(stop{err.Error()})
@@ -180,7 +181,7 @@
 func (l *lab) usual(c config, n int, pause time.Duration) {
 	for range n {
 		l.sent++
-		a := send(c.Listen, call{method: "GET", path: "/campaign-view/1", id: fmt.Sprintf("%016x", 0x1000+l.sent), budget: 1500 * time.Millisecond, wait: 2500 * time.Millisecond})
+		a := l.send(c.Listen, call{method: "GET", path: "/campaign-view/1", id: fmt.Sprintf("%016x", 0x1000+l.sent), budget: 1500 * time.Millisecond, wait: 2500 * time.Millisecond})
 		l.note("client: usual request: %v", a)
 		time.Sleep(pause)
 	}
@@ -238,9 +239,6 @@
 	Mode                    string // push or ask
 	Classes                 []class
 	MayDuplicate            bool
-	MemoryMB, Sockets       int
-	Me, Others              int // its number among the sidecars, and how many others there are
-	Console                 string
 }
 
 // entry is an endpoint in discovery's form.
@@ -277,14 +275,8 @@
 	if c.Mode == "" {
 		c.Mode = "push"
 	}
-	if c.MemoryMB == 0 {
-		c.MemoryMB = 192
-	}
-	if c.Sockets == 0 {
-		c.Sockets = 512
-	}
 	settings := object{
-		"Me": c.Me, "NInstances": 1 + c.Others, "Zone": 0, "Zones": []string{"hall-a", "hall-b", "hall-c"},
+		"Me": 0, "NInstances": 1, "Zone": 0, "Zones": []string{"hall-a", "hall-b", "hall-c"},
 		"Tier": 0, "Tiers": []string{"gateway", "ledger"}, "Kinds": []string{"gw-fast", "gw-std"},
 		"Clients": object{"MarksRetry": true}, "Workload": "chain", "Specifics": object{"PassesDeadline": false},
 		"RegistryMode": c.Mode, "WeightSource": "nominal", "WorthBy": "request", "OverShareWorth": 0.1, "TickS": 0.002,
@@ -297,8 +289,8 @@
 	}
 	text, err := json.MarshalIndent(object{
 		"name": c.Name, "listen": c.Listen, "discovery": c.Discovery, "seed": "8c1f30d27a5be964",
-		"limits": object{"cores": 1.0, "memory_mb": c.MemoryMB, "sockets": c.Sockets},
-		"known":  c.Known, "settings": settings, "console": c.Console,
+		"limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 512},
+		"known":  c.Known, "settings": settings,
 	}, "", " ")
 	l.must(err)
 	l.must(os.WriteFile(path+".new", text, 0o600))
--- a/review/second/late_repeat.go
+++ b/review/second/late_repeat.go
@@ -71,7 +71,7 @@
 	for i := range requests {
 		id := fmt.Sprintf("%016x", i+1)
 		keys = append(keys, "key-"+id)
-		a := send(c.Listen, call{method: "POST", path: "/payment/1", id: id, key: keys[i], budget: 3 * time.Second, body: body, wait: 4 * time.Second})
+		a := l.send(c.Listen, call{method: "POST", path: "/payment/1", id: id, key: keys[i], budget: 3 * time.Second, body: body, wait: 4 * time.Second})
 		l.note("client: request %s: %v", id, a)
 		if a.status != 0 {
 			answered++
--- a/review/second/peers.go
+++ b/review/second/peers.go
@@ -263,6 +263,12 @@
 	lastByte time.Time // when the request's last byte was written
 }
 
+// send notes what it sends, and sends it as the function of this name does.
+func (l *lab) send(addr string, q call) reply {
+	l.note("client: sends %s (%s %s, key %q, X-Budget-Ms %d, body %d bytes)", q.id, q.method, q.path, q.key, q.budget.Milliseconds(), len(q.body))
+	return send(addr, q)
+}
+
 // send sends one request on a new connection and reads its answer.
 func send(addr string, q call) (a reply) {
 	c, err := net.DialTimeout("tcp", addr, 2*time.Second)
--- a/review/second/replaced_listener.go
+++ b/review/second/replaced_listener.go
@@ -52,7 +52,7 @@
 	l.usual(c, 10, 150*time.Millisecond) // no SIGHUP comes in the first second
 	answers := make(chan reply, 1)
 	go func() {
-		answers <- send(listen, call{method: "POST", path: "/payment/1", id: "00000000000000aa", budget: 3 * time.Second, body: []byte("x"), wait: 4 * time.Second})
+		answers <- l.send(listen, call{method: "POST", path: "/payment/1", id: "00000000000000aa", budget: 3 * time.Second, body: []byte("x"), wait: 4 * time.Second})
 	}()
 	time.Sleep(500 * time.Millisecond)
 	if l.trouble {
--- a/review/second/shorter_window.go
+++ b/review/second/shorter_window.go
@@ -73,7 +73,7 @@
 	l.waitReady(c)
 	l.usual(c, 10, 50*time.Millisecond)
 	pay := func(id string) reply {
-		r := send(listen, call{method: "POST", path: "/payment/1", id: id, key: "key-1", budget: 3 * time.Second, body: []byte("x"), wait: 4 * time.Second})
+		r := l.send(listen, call{method: "POST", path: "/payment/1", id: id, key: "key-1", budget: 3 * time.Second, body: []byte("x"), wait: 4 * time.Second})
 		l.note("client: payment %s with key-1: %v", id, r)
 		return r
 	}
--- a/review/second/slow_answer.go
+++ b/review/second/slow_answer.go
@@ -37,7 +37,7 @@
 		if i >= 5 {
 			path = "/campaign-view/slow"
 		}
-		a := send(c.Listen, call{method: "GET", path: path, id: fmt.Sprintf("%016x", 1+i), budget: 1500 * time.Millisecond, wait: 10 * time.Second})
+		a := l.send(c.Listen, call{method: "GET", path: path, id: fmt.Sprintf("%016x", 1+i), budget: 1500 * time.Millisecond, wait: 10 * time.Second})
 		l.note("client: request %d: %v", i+1, a)
 		if a.took > 2050*time.Millisecond {
 			late++
--- a/review/second/taken_address.go
+++ b/review/second/taken_address.go
@@ -70,7 +70,7 @@
 	served := 0
 	for i := range requests {
 		id := fmt.Sprintf("%016x", i+1)
-		a := send(c.Listen, call{method: "POST", path: "/payment/1", id: id, key: "key-" + id, budget: 3 * time.Second, body: []byte("x"), wait: 4 * time.Second})
+		a := l.send(c.Listen, call{method: "POST", path: "/payment/1", id: id, key: "key-" + id, budget: 3 * time.Second, body: []byte("x"), wait: 4 * time.Second})
 		l.note("client: request %s: %v", id, a)
 		if a.status == 200 {
 			served++
