upstream: a retry of a keyed request arrives within its window, or does not run

Cause: an endpoint begins a request at its last byte, and the decision to repeat it was held at the first byte only.

Change: a retry of more than 4 KiB writes its last byte only when the endpoint has received the rest, would have read it in time, and the clock, read again, is within the window. The window counts from right before the last byte of the first attempt that may have run. A delivery that can't end in time at twice the pace seen is given up, or not begun, as never run, and the caller is answered at once. A connection that is closed with a part of a request unacknowledged is reset, so that it can't arrive later. X-Budget-Ms allows for the time of a long body. `undelivered` counts retries that were given up.

Why it works: without its last byte a request can't run, and that byte is bound to the window itself.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -160,7 +160,8 @@
 type attempt struct {
 	endpoint       int
 	sent           time.Duration
-	durationRatio  float64 // of its class at the time of sending
+	lastByteSent   time.Duration // when its last byte was written at the earliest; 0 if that is not known
+	durationRatio  float64       // of its class at the time of sending
 	done, neverRan bool
 	late           bool        // counted by markLate as past its latency target
 	otherProcess   bool        // another process than that of endpoint may have run it
@@ -182,9 +183,13 @@
 }
 
 // firstMaybeRun returns the first attempt that may have run or be running, or nil.
-func (r *request) firstMaybeRun() *attempt {
+func (r *request) firstMaybeRun() *attempt { return r.firstMaybeRunBeside(-1) }
+
+// firstMaybeRunBeside returns the first attempt other than the given one that may have run or be running,
+// or nil.
+func (r *request) firstMaybeRunBeside(number int) *attempt {
 	for k := range r.attempts {
-		if !r.attempts[k].neverRan {
+		if k != number && !r.attempts[k].neverRan {
 			return &r.attempts[k]
 		}
 	}
@@ -569,10 +574,16 @@
 		return false
 	}
 	previous := &b.endpoints[a.endpoint]
-	return c.Idempotency == IdempotentByKey && now-a.sent < c.DeduplicationWindow &&
+	return c.Idempotency == IdempotentByKey && now < a.deduplicatedUntil(c) &&
 		(c.DeduplicationScope != ScopeZone || e.Zone == previous.Zone) && (c.DeduplicationScope != ScopeCell || e.Cell == previous.Cell)
 }
 
+// deduplicatedUntil returns until when endpoints deduplicate repeats of a, an attempt of class c. They begin
+// to when its last byte has arrived, which is no earlier than it was written.
+func (a *attempt) deduplicatedUntil(c *Class) time.Duration {
+	return max(a.sent, a.lastByteSent) + c.DeduplicationWindow
+}
+
 // send starts an attempt if maySend permits it. No other code starts attempts.
 func (b *Balancer) send(r *request, i int, now time.Duration) bool {
 	if !b.maySend(r, i, now) {
@@ -604,6 +615,31 @@
 	return b.endpoints[a.endpoint].State == Ready && b.mayRepeat(r, &b.endpoints[a.endpoint], now)
 }
 
+// Idempotency returns the idempotency of a class.
+func (b *Balancer) Idempotency(class int) Idempotency { return b.cfg.Classes[class].Idempotency }
+
+// LastByteSent records that the last byte of an attempt, whose body is long, is about to be written.
+func (b *Balancer) LastByteSent(now time.Duration, id RequestID, number int) {
+	if r := b.requests[id]; r != nil {
+		r.attempts[number].lastByteSent = now
+	}
+}
+
+// ArrivalDeadline returns the time by which the last byte of an attempt has to arrive at its endpoint, so
+// that it is deduplicated if an earlier attempt has run. bounded is false if there is none. The endpoint
+// begins the request at its last byte, and so the decision to send it is bound to that.
+func (b *Balancer) ArrivalDeadline(id RequestID, number int) (deadline time.Duration, bounded bool) {
+	r := b.requests[id]
+	if r == nil || b.cfg.Classes[r.class].Idempotency != IdempotentByKey {
+		return 0, false
+	}
+	first := r.firstMaybeRunBeside(number)
+	if first == nil {
+		return 0, false
+	}
+	return first.deduplicatedUntil(&b.cfg.Classes[r.class]), true
+}
+
 // MayReachOtherProcess records that an attempt, if it is sent, may reach another process than that of
 // its endpoint, and reports whether it may be sent all the same. It may not if another attempt may have run
 // and only some endpoints deduplicate repeats: the other process may not be one of them.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -469,6 +469,9 @@
 	now := p.now()
 	r.pending--
 	p.stats.Results[result]++
+	if errors.Is(a.failure, upstream.ErrDeliveryTooLate) {
+		p.stats.Undelivered++
+	}
 	p.recordAttempt(r, a, result, now)
 	elapsed := now - a.sent
 	if up != nil {
--- a/internal/pool/stats.go
+++ b/internal/pool/stats.go
@@ -20,6 +20,7 @@
 	LaterAttempts int
 	Paused        int                      // responses that have paused after their beginning
 	PassedOn      int                      // responses that were passed on before their end was known
+	Undelivered   int                      // retries whose last byte was not written, as it would have come after the deduplication window
 	Results       [balance.NotSent + 1]int // attempts by result
 	Balancer      balance.Metrics
 }
@@ -66,6 +67,6 @@
 		"refused_limit", rejected(balance.RejectedByLimit), "refused_time", rejected(balance.RejectedForTime),
 		"refused_endpoint", rejected(balance.RejectedNoEndpoint), "refused_deadline", rejected(balance.RejectedAtDeadline),
 		"refused_failure", rejected(balance.RejectedAfterFailure), "refused_close", rejected(balance.RejectedOnClose),
-		"paused", current.Paused-last.Paused, "passed_on", current.PassedOn-last.PassedOn,
+		"paused", current.Paused-last.Paused, "passed_on", current.PassedOn-last.PassedOn, "undelivered", current.Undelivered-last.Undelivered,
 		"short_budget", current.Balancer.ShortBudgetFailures-last.Balancer.ShortBudgetFailures)
 }
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -238,8 +238,9 @@
 	maxPrepareRounds = 3
 )
 
-// prepare encodes the head of r and returns the time of encoding and the budget in the head. A
-// budget of 0 means that r must not be sent. If the process seems to have been suspended,
+// prepare encodes the head of r and returns the time of encoding and the budget in the head. The endpoint
+// counts the budget from the last byte of r, so the time that a long body is expected to take is taken off,
+// but no more than half. A budget of 0 means that r must not be sent. If the process seems to have been suspended,
 // prepare starts again, because the clock reading and the confirmation are outdated.
 func (c *conn) prepare(call *Call, r *Request, deadline time.Time, confirmer Confirmer) (sentAt time.Time, budget time.Duration) {
 	for range maxPrepareRounds {
@@ -249,6 +250,7 @@
 		}
 		sentAt = c.target.pool.now()
 		budget = r.timeLeft(deadline.Sub(sentAt))
+		budget -= min(c.target.pace.expected(len(r.Body), sentAt), budget/2)
 		if budget < minBudget {
 			return sentAt, 0
 		}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -68,6 +68,15 @@
 	c.Conn.SetWriteDeadline(expiredDeadline)
 }
 
+// Close implements net.Conn. A part of a request that has not arrived at the endpoint is discarded: it would
+// arrive at any later time, and its last byte would let the request run.
+func (c *conn) Close() error {
+	if tcpConn, ok := c.Conn.(*net.TCPConn); ok && socketstate.Unacknowledged(tcpConn) > 0 {
+		tcpConn.SetLinger(0)
+	}
+	return c.Conn.Close()
+}
+
 // endAfter ends writes at once, and reads after the grace period or at the deadline. It may be called
 // while another goroutine uses the connection.
 func (c *conn) endAfter(grace time.Duration, deadline time.Time) {
--- /dev/null
+++ b/internal/upstream/delivery_test.go
@@ -0,0 +1,167 @@
+package upstream
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"gorselink/balance"
+)
+
+// readSlowly reads a request from c, with a pause after each 64 KiB of its body, and returns X-Budget-Ms.
+func readSlowly(c net.Conn, pause time.Duration) (budget string, err error) {
+	r, err := http.ReadRequest(bufio.NewReaderSize(c, 4<<10))
+	if err != nil {
+		return "", err
+	}
+	for err == nil {
+		_, err = io.CopyN(io.Discard, r.Body, 64<<10)
+		time.Sleep(pause)
+	}
+	if err != io.EOF {
+		return "", err
+	}
+	return r.Header.Get("X-Budget-Ms"), nil
+}
+
+// A request whose attempt has ended does not arrive later from the buffers of this machine.
+func TestAbandonedRequestDoesNotArriveLater(t *testing.T) {
+	ended, arrived := make(chan struct{}), make(chan error, 1)
+	p := New(Config{DialTimeout: testTimeout, IdleTimeout: testTimeout, MaxConns: 5})
+	defer p.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			arrived <- err
+			return
+		}
+		defer c.Close()
+		<-ended
+		c.SetReadDeadline(time.Now().Add(testTimeout))
+		_, err = readSlowly(c, 0)
+		arrived <- err
+	}()
+	p.Set("s-2", Target{Address: l.Addr().String()})
+	r := &Request{Method: "POST", URI: "/", Host: "x", Body: make([]byte, 1<<20)}
+	_, result := p.Do(new(Call), "s-2", r, time.Now().Add(300*time.Millisecond), nil)
+	if result != balance.Timeout {
+		t.Fatalf("result %v, want a timeout after the last byte has been written", result)
+	}
+	close(ended)
+	if err := <-arrived; err == nil {
+		t.Error("the whole request arrived after its attempt had ended")
+	}
+}
+
+// pausingObserver implements Confirmer and DeliveryObserver. The process pauses before the last byte.
+type pausingObserver struct {
+	deadline time.Time
+	pause    bool
+}
+
+func (o *pausingObserver) Confirm() bool { return true }
+
+func (o *pausingObserver) Delivery() Delivery {
+	return Delivery{Deadline: o.deadline, ReportLastByte: true}
+}
+
+func (o *pausingObserver) LastByteWriting() {
+	if o.pause {
+		time.Sleep(time.Until(o.deadline))
+	}
+}
+
+// The last byte of a request is not written after a pause of the process over the end of its time.
+func TestLastByteIsNotWrittenAfterPause(t *testing.T) {
+	for _, pause := range []bool{false, true} {
+		t.Run(fmt.Sprint(pause), func(t *testing.T) {
+			arrived := make(chan error, 1)
+			p := New(Config{DialTimeout: testTimeout, IdleTimeout: testTimeout, MaxConns: 5})
+			defer p.Close()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					arrived <- err
+					return
+				}
+				defer c.Close()
+				_, err = readSlowly(c, 0)
+				arrived <- err
+				fmt.Fprint(c, okResponse)
+			}()
+			p.Set("s-2", Target{Address: l.Addr().String()})
+			r := &Request{Method: "POST", URI: "/", Host: "x", Body: make([]byte, 1<<20)}
+			observer := &pausingObserver{deadline: time.Now().Add(time.Second), pause: pause}
+			resp, result := p.Do(new(Call), "s-2", r, time.Now().Add(testTimeout), observer)
+			if resp != nil {
+				resp.Release()
+			}
+			err = <-arrived
+			if want := map[bool]balance.Result{false: balance.OK, true: balance.NotSent}[pause]; result != want || pause == (err == nil) {
+				t.Errorf("result %v, want %v; the endpoint read the request with error %v", result, want, err)
+			}
+		})
+	}
+}
+
+// The budget that an endpoint is told counts from the last byte of the request: the time that the endpoint
+// takes to read a long body is taken off.
+func TestToldBudgetAllowsForLongBody(t *testing.T) {
+	const attemptTimeout = 2 * time.Second
+	budgets := make(chan string, 2)
+	p := New(Config{DialTimeout: testTimeout, IdleTimeout: testTimeout, MaxConns: 5})
+	defer p.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			budget, err := readSlowly(c, 8*time.Millisecond)
+			if err != nil && !errors.Is(err, net.ErrClosed) {
+				budget = err.Error()
+			}
+			budgets <- budget
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\ngood")
+			c.Close()
+		}
+	}()
+	p.Set("s-2", Target{Address: l.Addr().String()})
+	var told [2]int
+	for i := range told {
+		r := &Request{Method: "POST", URI: "/", Host: "x", Body: make([]byte, 6<<20)}
+		resp, result := p.Do(new(Call), "s-2", r, time.Now().Add(attemptTimeout), &pausingObserver{})
+		if result != balance.OK {
+			t.Fatalf("result %v", result)
+		}
+		resp.Release()
+		text := <-budgets
+		if told[i], err = strconv.Atoi(text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if told[1] > told[0]-200 { // 6 MiB with a pause of 8 ms for each 64 KiB take 0.77 s
+		t.Errorf("the endpoint was told a budget of %d ms, after %d ms for the request before", told[1], told[0])
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -18,6 +18,7 @@
 	confirmer       Confirmer
 	observer        ResponseObserver // nil for none
 	processObserver ProcessObserver  // nil for none
+	delivery        DeliveryObserver // nil for none
 	active          activeAttempt
 	sentAt          time.Time
 }
@@ -26,6 +27,7 @@
 	x := &exchange{pool: c.target.pool, conn: c, call: call, request: r, deadline: deadline, confirmer: confirmer}
 	x.observer, _ = confirmer.(ResponseObserver)
 	x.processObserver, _ = confirmer.(ProcessObserver)
+	x.delivery, _ = confirmer.(DeliveryObserver)
 	x.active = activeAttempt{conn: c, deadline: deadline}
 	return x
 }
@@ -60,7 +62,11 @@
 		result = x.writeResult(err)
 		p.noteResult(c.target, result)
 		x.call.unregister(x.active)
-		p.closeConn(c, false)
+		if errors.Is(err, errDeliveryNotBegun) {
+			p.checkInUnused(c)
+		} else {
+			p.closeConn(c, false)
+		}
 		return false, result
 	}
 	return true, balance.OK
@@ -69,7 +75,11 @@
 // write writes the request, for which the endpoint has been told the budget, and sets the deadline of its
 // response.
 func (x *exchange) write(budget time.Duration) (err error) {
-	if x.request.Upload == nil {
+	switch {
+	case x.request.Upload != nil:
+	case x.delivery != nil && len(x.request.Body) > writeBufferSize:
+		return x.deliver(x.request.Body)
+	default:
 		return x.conn.send(x.request)
 	}
 	x.deadline, err = x.conn.forwardBody(x.call, x.conn.writeBuf, x.request.Upload, x.sentAt.Add(budget))
@@ -79,7 +89,10 @@
 
 // writeResult returns the result of a request that could not be written completely.
 func (x *exchange) writeResult(err error) balance.Result {
-	if errors.Is(err, errBodyIncomplete) || classifyFault(err) == localFault {
+	if errors.Is(err, ErrDeliveryTooLate) && x.observer != nil {
+		x.observer.ResponseFailed(err)
+	}
+	if errors.Is(err, ErrDeliveryTooLate) || errors.Is(err, errBodyIncomplete) || classifyFault(err) == localFault {
 		return balance.NotSent
 	}
 	return x.conn.unsentResult(x.call)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -131,6 +131,7 @@
 	doubt     processDoubt
 	unsettled atomic.Bool // removed is set or doubt has been; read without the mutex
 	usage     usage       // counted only if there is a reuse delay
+	pace      readingPace
 
 	contactAt time.Time // when it last responded or accepted a connection
 }
