httpserver: a key belongs to its pool from when its request is sent, not from its head

Callers of `serve` could have a repeat with a key run in another pool than the request: after a reload that moved the route, if the request's body had taken longer to arrive than keys are remembered.

Cause: KeyBindings counted from the routing of the head, for the longest deduplication window. An endpoint remembers a key from when the request has run, after its last byte and as late as its deadline.

Change: a request binds its key once more when it is handed to its pool, and is routed again if the key belongs to another pool by then. Each use begins the time anew, and the time is the longest window and the longest deadline together.

TestRepeatAfterSlowBodyStaysInItsPool failed before ("the repeat ran in the other pool") and passes, 5 of 5. The tests of internal/httpserver and internal/daemon pass.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -104,14 +104,15 @@
 	return len(d.retired)
 }
 
-// keyRetention returns the longest time for which endpoints remember an idempotency key.
+// keyRetention returns the longest time for which endpoints may remember an idempotency key, counted from
+// when its request is sent: it runs by its deadline, and from then on they remember it.
 func keyRetention(cfg *config.Daemon) (longest time.Duration) {
 	for i := range cfg.Classes {
 		if c := &cfg.Classes[i]; c.ByMethod || c.Idempotency == balance.IdempotentByKey {
 			longest = max(longest, c.DeduplicationWindow)
 		}
 	}
-	return longest
+	return longest + cfg.LongestDeadline()
 }
 
 // Apply replaces the current configuration by cfg and returns what has changed. If
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -271,6 +271,38 @@
 	runs(3, 2)
 }
 
+// A repeat with a key goes to the pool that has run the request, also if the request's body took longer
+// to arrive than the key is remembered.
+func TestRepeatAfterSlowBodyStaysInItsPool(t *testing.T) {
+	const classes = "[classes.default]\ndeadline = \"400ms\"\nmemory_span = \"50ms\"\n"
+	const bodyTime = 1200 * time.Millisecond // longer than any key is remembered
+	cfg := fakeserver.NodeConfig{}
+	a, b := startNodes(t, "a", 1, cfg), startNodes(t, "b", 1, cfg)
+	pools := poolText("a", nodeList(a)) + poolText("b", nodeList(b))
+	d := startDaemon(t, baseConfig, classes, pools, routeText("x", "a"))
+	head := "POST /pay HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\nContent-Length: 2\r\n\r\n"
+	conn, err := net.Dial("tcp", d.publicAddr(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(testTimeout))
+	io.WriteString(conn, head+"1")
+	time.Sleep(bodyTime)
+	io.WriteString(conn, "0")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("response %v, error %v", resp, err)
+	}
+	applyConfig(t, d, baseConfig, classes, pools, routeText("x", "b"))
+	if status, body := sendRaw(t, d.publicAddr(t), head+"10"); status != 200 {
+		t.Errorf("the repeat: status %d %q", status, body)
+	}
+	if b[0].TotalRuns() != 0 {
+		t.Error("the repeat ran in the other pool")
+	}
+}
+
 // All pools together never exceed the connection limit for nodes, also while retired pools
 // still have open connections.
 func TestReplacedPoolsShareConnectionLimit(t *testing.T) {
--- a/internal/httpserver/forward.go
+++ b/internal/httpserver/forward.go
@@ -108,9 +108,13 @@
 }
 
 // maxReroutes bounds how often a request is routed again because its pool was replaced
-// in the meantime.
+// in the meantime, or because its key now belongs to another one.
 const maxReroutes = 4
 
+// errKeyBoundElsewhere means that the key of a request was forgotten while its body arrived, and was then
+// bound to another pool.
+var errKeyBoundElsewhere = errors.New("idempotency key was sent to another pool")
+
 // submit hands the request to its pool, or to the pool that has replaced it in the
 // meantime. If no pool takes the request, it returns the response to write.
 func (c *callerConn) submit(p *Plan, b *requestBody) (*Plan, *pool.Request, *response) {
@@ -133,11 +137,15 @@
 		case b != nil:
 			r.Outgoing.Body, r.OnFinished = b.data, b.release
 		}
-		err := p.Pool.Submit(r)
+		err := errKeyBoundElsewhere
+		if p.rebindKey() {
+			err = p.Pool.Submit(r)
+		}
 		if err == nil {
 			return p, r, nil
 		}
-		if !errors.Is(err, pool.ErrRetired) || p.routed == nil || tries == maxReroutes {
+		shouldReroute := errors.Is(err, pool.ErrRetired) || errors.Is(err, errKeyBoundElsewhere)
+		if !shouldReroute || p.routed == nil || tries == maxReroutes {
 			return nil, nil, &response{status: http.StatusServiceUnavailable, text: err.Error(), retryAfter: p.Pool.RetryAfter(), wholeSeconds: p.Ordinary}
 		}
 		next, rejection := p.routed.plan()
--- a/internal/httpserver/key_bindings.go
+++ b/internal/httpserver/key_bindings.go
@@ -10,7 +10,7 @@
 const maxKeysPerGeneration = 32 << 10
 
 // KeyBindings, shared by all listeners of a process, remembers which pool each
-// idempotency key was sent to. Endpoints of another pool do not know the key, so a
+// idempotency key was last sent to. Endpoints of another pool do not know the key, so a
 // repeat that a new routing table sent there would run twice. If more than
 // maxKeysPerGeneration keys arrive within the retention time, keys are evicted early
 // and Bind reports uncertainty.
@@ -25,8 +25,9 @@
 	uncertainUntil    time.Duration        // until then, a key may have been evicted early
 }
 
-// NewKeyBindings returns KeyBindings that remember keys for the retention time, which is
-// the longest deduplication window of any endpoint.
+// NewKeyBindings returns KeyBindings that remember keys for the retention time. An endpoint deduplicates
+// repeats of a key from when the request has run, which may be as late as the deadline. The retention time is
+// therefore the sum of the longest deduplication window of any endpoint and the longest deadline.
 func NewKeyBindings(retention time.Duration) *KeyBindings {
 	return &KeyBindings{retention: retention, start: time.Now(), seeds: [2]maphash.Seed{maphash.MakeSeed(), maphash.MakeSeed()}, current: map[[2]uint64]string{}}
 }
@@ -57,8 +58,8 @@
 }
 
 // Bind returns the pool that a key was bound to within the retention time; a new key is
-// bound to the given pool. certain is false if the key may have been bound before and
-// evicted.
+// bound to the given pool. The retention time begins anew. certain is false if the key may have been
+// bound before and evicted.
 func (k *KeyBindings) Bind(keyHash [2]uint64, pool string, now time.Duration) (bound string, certain bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -75,6 +76,7 @@
 		return bound, true
 	}
 	if bound, ok := k.previous[keyHash]; ok {
+		k.current[keyHash] = bound
 		return bound, true
 	}
 	k.current[keyHash] = pool
--- a/internal/httpserver/router.go
+++ b/internal/httpserver/router.go
@@ -44,6 +44,18 @@
 	callID      string
 	generatedID bool // callID was generated here, so it cannot be a duplicate
 	seenIDs     *SeenIDs
+	keys        *KeyBindings // nil without an idempotency key
+	keyHash     [2]uint64
+}
+
+// rebindKey begins the retention time of the request's key anew, as the request is about to be sent: its
+// body may have taken long to arrive. It reports whether the key still belongs to the pool.
+func (p *Plan) rebindKey() bool {
+	if p.keys == nil {
+		return true
+	}
+	bound, _ := p.keys.Bind(p.keyHash, p.Pool.Name(), p.keys.now())
+	return bound == p.Pool.Name()
 }
 
 // Rejection is the reason why a request cannot be served.
--- a/internal/httpserver/table_router.go
+++ b/internal/httpserver/table_router.go
@@ -267,7 +267,8 @@
 // selects another one.
 func (rr *routedRequest) bindKey(t *Table, p *Plan, class *Class, c *balance.Class) *Rejection {
 	key := rr.req.Fields.Get("Idempotency-Key")
-	bound, certain := rr.Keys.Bind(rr.Keys.hash(rr.match.Host, rr.match.Path, key), p.Pool.Name(), rr.Keys.now())
+	p.keys, p.keyHash = rr.Keys, rr.Keys.hash(rr.match.Host, rr.match.Path, key)
+	bound, certain := rr.Keys.Bind(p.keyHash, p.Pool.Name(), rr.Keys.now())
 	if bound == p.Pool.Name() {
 		if !certain && rr.recentlyRoutedElsewhere(t, bound) {
 			// The request may have run in the pool that its route led to before.
