upstream: a begun response goes on while its endpoint gives 512 bytes a second

Cause: after the wait a response of unknown length that had begun was cut off unless 16 KiB had come, as one of up to 64 KiB is due by then. Cutting it off gains nothing but its place: such a one is late either way, and a longer one is lost only because it was cut.

Change: each byte adds its time at 512 bytes a second to a credit of at most 1.3 s (10 s once the response is known to be long), and waiting for the endpoint uses it up. A drip or a hang frees caller, connection and memory within a stated time; a long response that drips had no such end before. Time in which the caller takes nothing does not count.

Tests of upstream, httpserver, pool, sidecar pass.

--- a/internal/sidecar/slow_response_test.go
+++ b/internal/sidecar/slow_response_test.go
@@ -72,6 +72,7 @@
 	"lateBody": {silence: 800 * time.Millisecond, parts: 6, pause: 30 * time.Millisecond},
 	"lumps":    {parts: 4, pause: 620 * time.Millisecond},
 	"steady":   {parts: 40, pause: 45 * time.Millisecond},
+	"crawl":    {parts: 128, pause: 40 * time.Millisecond},
 	"hang":     {parts: 3, hang: true},
 	"hangOnce": {parts: 3, hang: true, once: true},
 }
@@ -106,6 +107,11 @@
 			for _, pace := range []string{"lateBody", "lumps", "steady"} {
 				all = append(all, slowResponseCase{class, framing, 150_000, pace, short, true})
 			}
+			// 80 bytes and 1 kB at a time, long after the end of the budget.
+			if framing != byLength {
+				all = append(all, slowResponseCase{class, framing, 10_000, "crawl", short, true}, slowResponseCase{class, framing, 2_000, "lumps", short, true})
+			}
+			all = append(all, slowResponseCase{class, framing, 128_000, "crawl", 480 * time.Millisecond, true})
 			all = append(all, slowResponseCase{class, framing, 2_000, "hang", 1500 * time.Millisecond, false})
 		}
 	}
--- a/internal/upstream/response_wait.go
+++ b/internal/upstream/response_wait.go
@@ -29,12 +29,8 @@
 	// deadline of the attempt has come and the response is not known to be long. It is no longer waited for.
 	maxSilence = 1300 * time.Millisecond
 
-	// probablyLongBytes is how much of a body of unknown length has to have come for it to be treated as
-	// longer than SmallResponseBytes after the deadline.
-	probablyLongBytes = SmallResponseBytes / 4
-
-	// lateResponseGrace is how long after its deadline the last byte of a response may still arrive
-	// unless it is, or probably is, long. Half a second after the caller's time the response is lost.
+	// lateResponseGrace is how long after its deadline the last byte of a response may still arrive, however
+	// slowly. Half a second after the caller's time one of up to SmallResponseBytes is lost.
 	lateResponseGrace = 430 * time.Millisecond
 
 	// discardPauseTimeout bounds a pause inside a body that is not used.
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -13,13 +14,8 @@
 	"gorselink/internal/socketstate"
 )
 
-// streamStallTimeout bounds a pause inside a response that is known to be longer than
-// SmallResponseBytes. It is long because a streamed response cannot be retried. It only prevents a
-// stalled endpoint from occupying the connection.
-const streamStallTimeout = 10 * time.Second
-
-// minStreamWait is the least time for which a stream waits for data, as its caller may have been slow.
-const minStreamWait = 100 * time.Millisecond
+// pendingDataTimeout bounds a read of data that has already arrived.
+const pendingDataTimeout = 100 * time.Millisecond
 
 // BodyStream is the part of a response body that has not been received yet. Read returns
 // io.EOF after the last byte and another error if the body is truncated.
@@ -31,8 +27,8 @@
 	remaining int64 // upper bound of the bytes still to receive
 	received  int64
 	deadline  time.Time // of the attempt
-	lastData  time.Time // when the last data before the stream arrived; zero once it has returned data
-	reusable  bool      // the connection can be reused after the body
+	credit    waitCredit
+	reusable  bool // the connection can be reused after the body
 	complete  bool
 	released  bool        // the connection has been checked in or closed
 	aborted   atomic.Bool // reading must end at once
@@ -62,6 +58,7 @@
 		}
 	}
 	s.reader, s.remaining = c.reader, h.Length
+	s.credit.left = s.maxSilence()
 	resp.Remaining = s
 	return resp, false, nil
 }
@@ -85,7 +82,8 @@
 	}
 	s.received = int64(len(buffer.data))
 	s.remaining -= s.received
-	s.lastData = c.wait.lastData
+	s.credit.receive(s.received, s.maxSilence())
+	s.credit.wait(time.Since(c.wait.lastData))
 	resp.Remaining, resp.HoldDelay = s, time.Since(began)
 	return resp, false, nil
 }
@@ -120,21 +118,47 @@
 	return buffer, false, nil
 }
 
+// maxSilence returns the longest pause of the endpoint after the deadline of the attempt.
+func (s *BodyStream) maxSilence() time.Duration {
+	if s.isLong() {
+		return maxLongSilence
+	}
+	return maxSilence
+}
+
+// isLong reports whether the body is known to be longer than SmallResponseBytes.
+func (s *BodyStream) isLong() bool {
+	return s.Length > SmallResponseBytes || s.received > SmallResponseBytes
+}
+
 // readDeadline returns when the wait for more of the body ends.
 func (s *BodyStream) readDeadline() time.Time {
-	now := time.Now()
-	if s.Length > SmallResponseBytes || s.received > SmallResponseBytes {
-		return now.Add(streamStallTimeout)
-	}
-	lastByteDue := s.deadline.Add(lateResponseGrace)
-	if s.Length >= 0 || s.received < probablyLongBytes {
+	now, lastByteDue := time.Now(), s.deadline.Add(lateResponseGrace)
+	if s.Length >= 0 && !s.isLong() {
 		return lastByteDue
 	}
-	silentSince := now
-	if !s.lastData.IsZero() {
-		silentSince = s.lastData
+	end := later(lastByteDue, now.Add(s.credit.left))
+	if end.Sub(now) < pendingDataTimeout && s.conn.hasPendingData() {
+		return now.Add(pendingDataTimeout)
+	}
+	return end
+}
+
+// awaitConn calls wait, which waits for data on the connection, and takes the time off the credit. After a
+// pause of this process wait is called once more, as data may have arrived meanwhile.
+func (s *BodyStream) awaitConn(wait func() error) error {
+	for repeated := false; ; repeated = true {
+		began := time.Now()
+		s.conn.SetReadDeadline(s.readDeadline())
+		if s.aborted.Load() {
+			return net.ErrClosed
+		}
+		err := wait()
+		s.credit.wait(time.Since(began))
+		if repeated || !errors.Is(err, os.ErrDeadlineExceeded) || s.aborted.Load() || !s.conn.hasPendingData() {
+			return err
+		}
 	}
-	return later(later(lastByteDue, silentSince.Add(maxSilence)), now.Add(minStreamWait))
 }
 
 // WaitForData waits until more of the body or its end has arrived, or until receiving has failed, which
@@ -150,8 +174,7 @@
 	if s.conn.reader.Buffered() > 0 {
 		return nil
 	}
-	s.conn.SetReadDeadline(s.readDeadline())
-	return socketstate.WaitReadable(s.conn.Conn)
+	return s.awaitConn(func() error { return socketstate.WaitReadable(s.conn.Conn) })
 }
 
 // CopyBuffer returns a buffer for forwarding the body, which the caller must release. To hold it for a
@@ -186,16 +209,15 @@
 		}
 		return 0, errors.New("response body exceeds the maximum length of a streamed response")
 	}
-	s.conn.SetReadDeadline(s.readDeadline())
-	if s.aborted.Load() {
-		return 0, net.ErrClosed
-	}
-	n, err := s.reader.Read(b[:min(int64(len(b)), s.remaining)])
-	s.remaining -= int64(n)
-	s.received += int64(n)
-	if n > 0 {
-		s.lastData = time.Time{}
-	}
+	n := 0
+	err := s.awaitConn(func() (err error) {
+		n, err = s.reader.Read(b[:min(int64(len(b)), s.remaining)])
+		if n > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil
+		}
+		return err
+	})
+	s.recordReceived(n)
 	if err != io.EOF {
 		return n, err
 	}
@@ -206,6 +228,17 @@
 	return n, io.EOF
 }
 
+// recordReceived records that n bytes of the body have been received.
+func (s *BodyStream) recordReceived(n int) {
+	wasLong := s.isLong()
+	s.remaining -= int64(n)
+	s.received += int64(n)
+	if s.isLong() && !wasLong {
+		s.credit.left = maxLongSilence
+	}
+	s.credit.receive(int64(n), s.maxSilence())
+}
+
 // close ends the stream, which may be incomplete.
 func (s *BodyStream) close() {
 	if s.ahead != nil {
