daemon: the drain waits for listeners that reloads have replaced or removed

Cause: a retired listener left the set over which the end of the process looks. Nobody waited for it, gave its server the response deadline, or ended its requests at the end of the drain.

Change: retired listeners stay in Daemon.retiredListeners until their connections are closed, and a drain treats them as present ones. Every reload gives them its table. The deadline of the drain covers the present configuration and earlier ones whose requests may be open; it was that of the start's. Open and arriving requests are logged by generation, and `unanswered` at the exit, of `run` too.

The tests of internal/daemon and cmd pass.

--- a/cmd/gorselink/serve.go
+++ b/cmd/gorselink/serve.go
@@ -40,7 +40,8 @@
 	}
 	reloadUntilDone(env.ctx, d, c.Config, env.reload)
 	slog.Info("draining; exiting once all accepted requests have responses")
-	d.Drain(drainNotice, time.Now().Add(drainNotice+cfg.LongestDeadline()+drainMargin))
+	unanswered := d.Drain(drainNotice, d.DrainDeadline(drainNotice))
+	slog.Info("drained", "unanswered", unanswered)
 	return nil
 }
 
@@ -93,8 +94,6 @@
 	heapShare = 0.7
 	// drainNotice is the time after SIGTERM in which new connections are still accepted.
 	drainNotice = 600 * time.Millisecond
-	// drainMargin is the time beyond the longest deadline for the last requests.
-	drainMargin = 1500 * time.Millisecond
 )
 
 type checkCommand struct {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,12 +28,15 @@
 	keyBindings *httpserver.KeyBindings
 	seenIDs     *httpserver.SeenIDs
 
-	mu        sync.Mutex
-	cfg       *config.Daemon // the current configuration
-	pools     map[string]*managedPool
-	retired   []*managedPool
-	listeners map[string]*listener
-	closed    bool
+	mu               sync.Mutex
+	cfg              *config.Daemon // the current configuration
+	generation       int            // number of the current configuration, from 1
+	pools            map[string]*managedPool
+	retired          []*managedPool
+	listeners        map[string]*listener
+	retiredListeners []*listener // listeners that a reload has removed or replaced, with open connections
+	formerDeadline   time.Time   // when the last request of earlier configurations has reached its deadline
+	closed           bool
 
 	// poolsByName is read by requests, so it is not guarded by mu.
 	poolsByName sync.Map // maps the names of pools that are running or draining to *pool.Pool
@@ -55,6 +58,7 @@
 	router   *httpserver.TableRouter
 	server   *httpserver.Server
 
+	generation     int  // of the configuration that has created the listener
 	reusesAcceptor bool // the acceptor belongs to the previous listener at this address
 }
 
@@ -151,6 +155,7 @@
 			for _, name := range slices.Sorted(maps.Keys(d.listeners)) {
 				d.listeners[name].server.Report()
 			}
+			d.dropDrainedListeners()
 			d.closeDrained(now)
 			d.distributeConns()
 			d.mu.Unlock()
@@ -207,49 +212,6 @@
 	}
 }
 
-// Drain makes all listeners report that they are not ready and keeps accepting
-// connections for the notice period. Then it closes the listeners and ends once all
-// accepted requests have responses, but no later than the deadline.
-func (d *Daemon) Drain(notice time.Duration, deadline time.Time) {
-	d.mu.Lock()
-	d.closed = true
-	listeners := slices.Collect(maps.Values(d.listeners))
-	d.mu.Unlock()
-	for _, l := range listeners {
-		l.router.MarkDraining()
-		l.server.SetResponseDeadline(deadline.Add(-responseMargin))
-	}
-	// Requests that are still arriving then get an error response, and so do those whose
-	// deadline is later, as they were read before the response deadline was set.
-	defer time.AfterFunc(time.Until(deadline)-responseMargin, func() { d.endOpenRequests(listeners) }).Stop()
-	time.Sleep(min(notice, time.Until(deadline)))
-	var wg sync.WaitGroup
-	for _, l := range listeners {
-		l.acceptor.listener.Close()
-		wg.Go(func() { l.server.Drain(deadline) })
-	}
-	wg.Wait()
-	d.Close()
-}
-
-// endOpenRequests ends the reading of requests and responds to all open ones at once.
-func (d *Daemon) endOpenRequests(listeners []*listener) {
-	for _, l := range listeners {
-		l.server.StopReading()
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, p := range d.pools {
-		p.pool.Close()
-	}
-	for _, p := range d.retired {
-		p.pool.Close()
-	}
-}
-
-// responseMargin is reserved for writing the last responses.
-const responseMargin = 50 * time.Millisecond
-
 // Close stops everything at once. Open requests get no response.
 func (d *Daemon) Close() {
 	d.cancel()
@@ -258,7 +220,7 @@
 	d.closed = true
 	for _, l := range d.listeners {
 		l.acceptor.listener.Close()
-		go l.server.Drain(time.Now())
+		l.server.BeginDrain()
 	}
 	for _, p := range d.pools {
 		p.close()
--- a/internal/daemon/transaction.go
+++ b/internal/daemon/transaction.go
@@ -323,6 +323,8 @@
 // no table does, so a request that a retired pool rejects finds the new table.
 func (tx *transaction) commit() []string {
 	d, retention := tx.daemon, keyRetention(tx.cfg)
+	d.generation++
+	d.recordDeadlines()
 	d.keyBindings.SetRetention(retention)
 	d.seenIDs.SetLongestDeadline(tx.cfg.LongestDeadline())
 	retired := tx.commitPools(time.Now().Add(retention))
@@ -441,13 +443,17 @@
 		}
 		delete(d.listeners, name)
 		tx.addChange("listener %s: removed from %s", name, old.cfg.Address)
-		if t := tx.tables[name]; t != nil { // replaced by a listener of this name
+		old.server.BeginDrain()
+		d.retiredListeners = append(d.retiredListeners, old)
+	}
+	for _, old := range d.retiredListeners {
+		if t := tx.tables[old.cfg.Name]; t != nil { // replaced by a listener of this name
 			tableCopy := *t
 			old.router.SetTable(&tableCopy, keyRetention(tx.cfg)) // for requests on its remaining connections
 		}
-		go old.server.Drain(time.Now().Add(d.cfg.LongestDeadline() + time.Minute))
 	}
 	for _, l := range tx.newListeners {
+		l.generation = d.generation
 		d.listeners[l.cfg.Name] = l
 		tx.addChange("listener %s: listening on %s, form %s", l.cfg.Name, l.acceptor.listener.Addr(), l.cfg.Form)
 	}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -70,6 +70,22 @@
 	return s.openConns
 }
 
+// OpenRequests counts the requests of a Server that have no complete response yet.
+type OpenRequests struct {
+	Active   int // received
+	Arriving int // received in part
+}
+
+// OpenRequests returns the number of requests that have no complete response yet.
+func (s *Server) OpenRequests() OpenRequests {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return OpenRequests{
+		Active:   s.conns[stateActive].Len() + s.conns[stateCallerGone].Len(),
+		Arriving: s.conns[stateReading].Len(),
+	}
+}
+
 // Serve accepts connections from l until l is closed.
 func (s *Server) Serve(l net.Listener) error { return Accept(l, s.HandleConn) }
 
@@ -99,8 +115,22 @@
 	missedDeadlinePeriod = 200 * time.Millisecond
 )
 
+// BeginDrain closes connections once no request is open on them. It does not wait for them.
+func (s *Server) BeginDrain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.beginDrainLocked()
+}
+
+// beginDrainLocked is BeginDrain; s.mu must be held.
+func (s *Server) beginDrainLocked() {
+	s.draining = true
+	s.wake(stateUnused)
+	s.wake(stateIdle)
+}
+
 // Drain closes connections once no request is open on them, and waits until none is left
-// or the deadline has passed. New connections are still served; call Drain again after
+// or the deadline has passed. It must not be called by two goroutines at once. New connections are still served; call Drain again after
 // the listener is closed to wait for the last of them.
 //
 // If the process was not scheduled at the deadline, the responses that were due before it are
@@ -109,9 +139,7 @@
 	defer s.Report() // the process may end before the next call
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.draining = true
-	s.wake(stateUnused)
-	s.wake(stateIdle)
+	s.beginDrainLocked()
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	for extended := false; s.openConns > 0; {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -443,6 +443,10 @@
 	killAt := terminatedAt.Add(min(longestDeadline, maxKillDeadline) + killDelay)
 	exitBy := terminatedAt.Add(max(killAt.Sub(terminatedAt)-killMargin, newConnPeriod))
 	forcedExitAt := killAt.Add(-exitMargin)
+	defer func() {
+		open := s.server.OpenRequests()
+		slog.Info("drained", "unanswered", open.Active+open.Arriving)
+	}()
 	s.server.SetResponseDeadline(exitBy.Add(-responseWriteMargin))
 	// Requests received before the response deadline was set may have later deadlines, and
 	// partially received ones may complete as the process exits.
