soak: long bodies with keys, slow responses of unknown length, and reloads of serve

Change: transfers (a sidecar) and reloads (`serve`) are kinds of plans of their own, drawn from a seed, with endpoints that are scripted by the query of each request.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -34,8 +34,11 @@
 	MemoryMB      int
 	Sockets       int
 	PullDiscovery bool
+	Window        time.Duration `json:",omitempty"` // deduplication window; 0 for defaultWindow
 }
 
+const defaultWindow = 5 * time.Second
+
 // EndpointFault is a fault of one endpoint.
 type EndpointFault struct {
 	Endpoint int
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -24,7 +24,7 @@
 }
 
 // start starts a process of the program. It does not wait until the process is ready.
-func (r *run) start(program string) (*process, error) {
+func (r *run) start(program string, args ...string) (*process, error) {
 	r.started++
 	path := filepath.Join(r.dir, fmt.Sprintf("process-%d.log", r.started))
 	log, err := os.Create(path)
@@ -32,10 +32,12 @@
 		return nil, err
 	}
 	defer log.Close()
-	cmd := exec.Command(program)
+	cmd := exec.Command(program, args...)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = r.dir, log, log
-	cmd.Env = append(os.Environ(), "ROUTER_NAME=soak", "ROUTER_LISTEN="+r.listen, "ROUTER_DISCOVERY="+r.agent.Addr(),
-		"ROUTER_CONFIG="+r.configPath, "TMPDIR="+r.tempDir)
+	cmd.Env = append(os.Environ(), "TMPDIR="+r.tempDir)
+	if r.agent != nil { // the process is a sidecar
+		cmd.Env = append(cmd.Env, "ROUTER_NAME=soak", "ROUTER_LISTEN="+r.listen, "ROUTER_DISCOVERY="+r.agent.Addr(), "ROUTER_CONFIG="+r.configPath)
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	p := &process{cmd: cmd, exited: make(chan struct{}), record: Process{Started: r.now(), LogPath: path}}
 	if err := cmd.Start(); err != nil {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/http"
@@ -33,6 +34,7 @@
 	listen     string
 	agent      *fakeserver.Agent
 	nodes      []*fakeserver.Node
+	scripted   []*scriptedEndpoint
 	startedAt  time.Time
 	started    int          // processes
 	configs    int          // versions of the configuration
@@ -122,10 +124,10 @@
 "Obligations":{"ColdShare":0.3,"RampTimeS":5,"OverloadForS":3,"DrainGraceS":%g,"AskWithinS":4},
 "RequestClasses":[
 {"Name":"view","AimS":%g,"DeadlineS":%g,"Semantics":"free","Worth":1},
-{"Name":"put","AimS":%g,"DeadlineS":%g,"Semantics":"guarded","KeyScope":"all","MemorySpanS":5,"Worth":1},
+{"Name":"put","AimS":%g,"DeadlineS":%g,"Semantics":"guarded","KeyScope":"all","MemorySpanS":%g,"Worth":1},
 {"Name":"pay","AimS":%g,"DeadlineS":%g,"Semantics":"single_shot","Worth":1}]}}`,
 		r.listen, r.agent.Addr(), s.MemoryMB, s.Sockets, mode, 3+r.configs%2, drainGrace.Seconds(),
-		deadline/2, deadline, deadline/2, deadline, deadline/2, deadline)
+		deadline/2, deadline, deadline/2, deadline, cmp.Or(s.Window, defaultWindow).Seconds(), deadline/2, deadline)
 	temp := r.configPath + ".new"
 	if err := os.WriteFile(temp, []byte(text), 0o600); err != nil {
 		return err
@@ -343,6 +345,9 @@
 	for _, n := range r.nodes {
 		n.Close()
 	}
+	for _, e := range r.scripted {
+		e.close()
+	}
 	if r.agent != nil {
 		r.agent.Close()
 	}
--- a/scripts/soak/main.go
+++ b/scripts/soak/main.go
@@ -4,6 +4,7 @@
 //	go run ./scripts/soak -seeds 1-50
 //	go run ./scripts/soak -seeds 1-10 -before OTHER_BUILD
 //	go run ./scripts/soak -seeds 7 -plan
+//	go run ./scripts/soak -seeds 1-20 -kind transfers
 //
 // It exits with status 1 if a rule was broken. The logs of all processes stay in the directory
 // that it prints.
@@ -28,15 +29,20 @@
 	program := flag.String("program", "", "build of the sidecar; built from this tree if empty")
 	before := flag.String("before", "", "build of the first process of each plan; the same if empty")
 	parallel := flag.Int("parallel", 3, "plans that run at the same time")
+	kind := flag.String("kind", "signals", "of the plans: signals, transfers or reloads")
 	printPlan := flag.Bool("plan", false, "print the plans and run nothing")
 	flag.Parse()
 	from, to, err := parseSeeds(*seeds)
 	if err != nil {
 		fail(err)
 	}
+	selected, known := kinds[*kind]
+	if !known {
+		fail(fmt.Errorf("-kind: found %q, want signals, transfers or reloads", *kind))
+	}
 	if *printPlan {
 		for seed := from; seed <= to; seed++ {
-			fmt.Println(soak.NewPlan(seed))
+			fmt.Println(selected.plan(seed))
 		}
 		return
 	}
@@ -54,7 +60,7 @@
 		}
 	}
 	s := &summary{signals: map[string]int{}, excuses: map[string]int{}}
-	s.runAll(from, to, *parallel, soak.Options{Program: *program, Predecessor: *before, Dir: dir})
+	s.runAll(selected, from, to, *parallel, soak.Options{Program: *program, Predecessor: *before, Dir: dir})
 	s.print()
 	if s.broken > 0 {
 		os.Exit(1)
@@ -89,7 +95,7 @@
 }
 
 // runAll runs the plans of all seeds, several at a time.
-func (s *summary) runAll(from, to uint64, parallel int, options soak.Options) {
+func (s *summary) runAll(selected planKind, from, to uint64, parallel int, options soak.Options) {
 	seeds := make(chan uint64)
 	var workers sync.WaitGroup
 	for slot := range parallel {
@@ -97,13 +103,9 @@
 			for seed := range seeds {
 				own := options
 				own.Slot, own.Dir = slot, filepath.Join(options.Dir, fmt.Sprintf("seed-%d", seed))
-				plan := soak.NewPlan(seed)
-				record, err := soak.Run(plan, own)
-				if err != nil {
+				if err := selected.perform(s, seed, own); err != nil {
 					s.addError(seed, err)
-					continue
 				}
-				s.add(plan, soak.Judge(record))
 			}
 		})
 	}
