httpserver: a shorter deduplication window does not forget earlier keys

Cause: KeyBindings applied the new retention to keys that had been bound under the old one, and the age of a generation was compared with the present retention. The retired pool was kept for the new one only.

Change: a generation of keys keeps its retention time, and after a shorter one is set generations begin with the longer one until all keys from before have expired. Retired pools and replaced tables are kept for the time in force.

The tests of internal/daemon and internal/httpserver pass.

--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -303,6 +303,38 @@
 	}
 }
 
+// A repeat with a key goes to the pool that has run the request, also after a reload that moves its route and
+// shortens the time for which keys are deduplicated, or that removes the pool.
+func TestRepeatAfterShorterWindowStaysInItsPool(t *testing.T) {
+	classes := func(window string) string {
+		return "[classes.default]\ndeadline = \"400ms\"\nmemory_span = \"" + window + "\"\n"
+	}
+	for _, removed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("removed_%t", removed), func(t *testing.T) {
+			t.Parallel()
+			a, b := startNodes(t, "a", 1, fakeserver.NodeConfig{}), startNodes(t, "b", 1, fakeserver.NodeConfig{})
+			poolA, poolB := poolText("a", nodeList(a)), poolText("b", nodeList(b))
+			d := startDaemon(t, baseConfig, classes("30s"), poolA, poolB, routeText("x", "a"))
+			c := newClient(t, d.publicAddr(t))
+			pay := func() response { return c.send(http.MethodPost, "x", "/pay", "10", "Idempotency-Key", "k") }
+			if r := pay(); r.status != 200 {
+				t.Fatalf("status %d, %v", r.status, r.err)
+			}
+			if removed {
+				poolA = ""
+			}
+			applyConfig(t, d, baseConfig, classes("10ms"), poolA, poolB, routeText("x", "b"))
+			time.Sleep(1200 * time.Millisecond) // over twice the shorter window and the deadline, and a maintenance interval
+			if r := pay(); r.status != 200 {
+				t.Errorf("the repeat: status %d, %v", r.status, r.err)
+			}
+			if b[0].TotalRuns() != 0 {
+				t.Error("the repeat ran in the other pool")
+			}
+		})
+	}
+}
+
 // All pools together never exceed the connection limit for nodes, also while retired pools
 // still have open connections.
 func TestReplacedPoolsShareConnectionLimit(t *testing.T) {
--- a/internal/daemon/transaction.go
+++ b/internal/daemon/transaction.go
@@ -322,10 +322,11 @@
 // New pools run before a table refers to them, and old pools accept requests until
 // no table does, so a request that a retired pool rejects finds the new table.
 func (tx *transaction) commit() []string {
-	d, retention := tx.daemon, keyRetention(tx.cfg)
+	d := tx.daemon
 	d.generation++
 	d.recordDeadlines()
-	d.keyBindings.SetRetention(retention)
+	d.keyBindings.SetRetention(keyRetention(tx.cfg))
+	retention := d.keyBindings.Retention()
 	d.seenIDs.SetLongestDeadline(tx.cfg.LongestDeadline())
 	retired := tx.commitPools(time.Now().Add(retention))
 	for i := range tx.cfg.Listeners {
@@ -449,7 +450,7 @@
 	for _, old := range d.retiredListeners {
 		if t := tx.tables[old.cfg.Name]; t != nil { // replaced by a listener of this name
 			tableCopy := *t
-			old.router.SetTable(&tableCopy, keyRetention(tx.cfg)) // for requests on its remaining connections
+			old.router.SetTable(&tableCopy, d.keyBindings.Retention()) // for requests on its remaining connections
 		}
 	}
 	for _, l := range tx.newListeners {
--- a/internal/httpserver/table_router_test.go
+++ b/internal/httpserver/table_router_test.go
@@ -121,13 +121,42 @@
 	for i := range 3 * maxKeysPerGeneration {
 		k.Bind(key(fmt.Sprint(i)), "many", 4*time.Second)
 	}
-	if n := len(k.current) + len(k.previous); n > 2*maxKeysPerGeneration {
+	if n := len(k.current.pools) + len(k.previous); n > 2*maxKeysPerGeneration {
 		t.Errorf("%d keys are remembered, more than two generations", n)
 	}
 	checkBind("a", "one", "one", 4*time.Second, false) // evicted early, which is reported
 	checkBind("b", "one", "one", 6*time.Second, true)
 }
 
+// Keys that were bound before the retention time was shortened are remembered for the longer time, and later
+// ones no longer than necessary.
+func TestShorterRetentionKeepsEarlierKeys(t *testing.T) {
+	const long, short = 30 * time.Second, time.Second
+	for boundAt := time.Duration(0); boundAt < 2*long; boundAt += long / 8 {
+		k := NewKeyBindings(long)
+		key := func(s string) [2]uint64 { return k.hash("h", "/p", s) }
+		k.Bind(key("other"), "one", boundAt/2) // begins a generation
+		k.Bind(key("early"), "one", boundAt)
+		shortened := boundAt + short/2
+		k.setRetention(long/3, shortened)
+		k.setRetention(short, shortened+short)
+		for now := shortened + 2*short; now < boundAt+long; now += short {
+			k.Bind(key(now.String()), "two", now)
+		}
+		if pool, _ := k.Bind(key("early"), "two", boundAt+long-1); pool != "one" {
+			t.Errorf("a key bound at %v was forgotten before the end of its time", boundAt)
+		}
+		after := shortened + 8*long
+		k.Bind(key("late"), "one", after)
+		for now := after; now < after+3*short; now += short / 2 {
+			k.Bind(key(now.String()), "two", now)
+		}
+		if pool, _ := k.Bind(key("late"), "two", after+3*short); pool != "two" {
+			t.Error("a late key was remembered for longer than the shorter time")
+		}
+	}
+}
+
 // While keys may have been evicted early, a request with a key is rejected if its route has
 // changed, because the endpoints of the new pool cannot detect that it has run.
 func TestUncertainKeysAreNotRerouted(t *testing.T) {
