--- a/internal/daemon/retired_listener_test.go
+++ b/internal/daemon/retired_listener_test.go
@@ -32,6 +32,29 @@
 	return conn
 }
 
+// startWithInner starts a daemon with a listener named inner at addr, before a node that does not respond yet.
+// common is the part of the configuration that reloads keep.
+func startWithInner(t *testing.T, addr string) (d *Daemon, node *fakeserver.Node, common string) {
+	nodes := startNodes(t, "n", 1, fakeserver.NodeConfig{})
+	common = poolText("a", nodeList(nodes)) + routeText("", "a")
+	d = startDaemon(t, baseConfig, innerListener(addr, 9), common)
+	nodes[0].SetMode(fakeserver.ModeFreeze)
+	return d, nodes[0], common
+}
+
+// checkResponse checks that a response has been sent, which must be before the exit, and its status.
+func checkResponse(t *testing.T, what string, conn net.Conn, wanted func(status int) bool) {
+	t.Helper()
+	if !socketstate.HasPendingData(conn) {
+		t.Errorf("%s: no response before the end of the drain", what)
+		return
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || !wanted(resp.StatusCode) {
+		t.Errorf("%s: response %v, error %v", what, resp, err)
+	}
+}
+
 // reloadsOfInner are reloads that retire the listener named inner, by name: the configurations of the listener
 // that follow each other.
 func reloadsOfInner(addr, otherAddr string) map[string][]string {
@@ -49,11 +72,8 @@
 	for name := range reloadsOfInner("", "") {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			nodes := startNodes(t, "n", 1, fakeserver.NodeConfig{})
 			addr := freeAddr(t)
-			common := poolText("a", nodeList(nodes)) + routeText("", "a")
-			d := startDaemon(t, baseConfig, innerListener(addr, 9), common)
-			nodes[0].SetMode(fakeserver.ModeFreeze)
+			d, node, common := startWithInner(t, addr)
 			configs := append([]string{innerListener(addr, 9)}, reloadsOfInner(addr, freeAddr(t))[name]...)
 			var conns []net.Conn
 			for i, config := range configs { // a request on each generation that is retired
@@ -64,7 +84,7 @@
 					continue
 				}
 				conns = append(conns, openRequest(t, addr, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
-				eventually(t, "the request is at the node", func() bool { return nodes[0].OpenRequests() == len(conns) })
+				eventually(t, "the request is at the node", func() bool { return node.OpenRequests() == len(conns) })
 			}
 			drained := make(chan int, 1)
 			go func() { drained <- d.Drain(0, time.Now().Add(testTimeout)) }()
@@ -81,19 +101,12 @@
 				t.Fatal("the drain ended with requests open")
 			case <-time.After(100 * time.Millisecond):
 			}
-			nodes[0].SetMode(fakeserver.ModeServe)
+			node.SetMode(fakeserver.ModeServe)
 			if unanswered := <-drained; unanswered != 0 {
 				t.Errorf("%d requests without a response, want none", unanswered)
 			}
 			for i, conn := range conns {
-				if !socketstate.HasPendingData(conn) { // must be sent before the exit
-					t.Errorf("generation %d: no response before the end of the drain", i+1)
-					continue
-				}
-				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-				if err != nil || resp.StatusCode != http.StatusOK {
-					t.Errorf("generation %d: response %v, error %v, want 200", i+1, resp, err)
-				}
+				checkResponse(t, fmt.Sprintf("generation %d", i+1), conn, func(status int) bool { return status == http.StatusOK })
 			}
 		})
 	}
@@ -105,11 +118,8 @@
 	for name := range reloadsOfInner("", "") {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			nodes := startNodes(t, "n", 1, fakeserver.NodeConfig{})
 			addr := freeAddr(t)
-			common := poolText("a", nodeList(nodes)) + routeText("", "a")
-			d := startDaemon(t, baseConfig, innerListener(addr, 9), common)
-			nodes[0].SetMode(fakeserver.ModeFreeze)
+			d, node, common := startWithInner(t, addr)
 			var conns []net.Conn
 			for _, text := range []string{
 				"GET / HTTP/1.1\r\nHost: x\r\n",
@@ -121,7 +131,7 @@
 			eventually(t, "the complete request is at the node and the others are being read", func() bool {
 				d.mu.Lock()
 				defer d.mu.Unlock()
-				return nodes[0].OpenRequests() == 1 && d.listeners["inner"].server.OpenRequests().Arriving == 2
+				return node.OpenRequests() == 1 && d.listeners["inner"].server.OpenRequests().Arriving == 2
 			})
 			for _, config := range reloadsOfInner(addr, freeAddr(t))[name] {
 				applyConfig(t, d, baseConfig, config, common)
@@ -130,14 +140,7 @@
 				t.Errorf("%d requests without a response, want none", unanswered)
 			}
 			for i, conn := range conns {
-				if !socketstate.HasPendingData(conn) {
-					t.Errorf("request %d: no response before the end of the drain", i)
-					continue
-				}
-				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-				if err != nil || resp.StatusCode < 400 {
-					t.Errorf("request %d: response %v, error %v, want an error response", i, resp, err)
-				}
+				checkResponse(t, fmt.Sprintf("request %d", i), conn, func(status int) bool { return status >= 400 })
 			}
 		})
 	}
--- a/internal/upstream/delivery_test.go
+++ b/internal/upstream/delivery_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +11,7 @@
 	"time"
 
 	"gorselink/balance"
+	"gorselink/internal/acceptloop"
 )
 
 // readSlowly reads a request from c, with a pause after each 64 KiB of its body, and returns X-Budget-Ms.
@@ -30,31 +30,36 @@
 	return r.Header.Get("X-Budget-Ms"), nil
 }
 
-// A request whose attempt has ended does not arrive later from the buffers of this machine.
-func TestAbandonedRequestDoesNotArriveLater(t *testing.T) {
-	ended, arrived := make(chan struct{}), make(chan error, 1)
-	p := New(Config{DialTimeout: testTimeout, IdleTimeout: testTimeout, MaxConns: 5})
-	defer p.Close()
+// newListeningPool returns a Pool with the endpoint s-1, which passes each connection to handle.
+func newListeningPool(t *testing.T, handle func(c net.Conn)) *Pool {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			arrived <- err
-			return
-		}
-		defer c.Close()
+	t.Cleanup(func() { l.Close() })
+	go acceptloop.Serve(l, func(c net.Conn) {
+		go func() {
+			defer c.Close()
+			handle(c)
+		}()
+	})
+	p := New(Config{DialTimeout: testTimeout, IdleTimeout: testTimeout, MaxConns: 5})
+	t.Cleanup(p.Close)
+	p.Set("s-1", Target{Address: l.Addr().String()})
+	return p
+}
+
+// A request whose attempt has ended does not arrive later from the buffers of this machine.
+func TestAbandonedRequestDoesNotArriveLater(t *testing.T) {
+	ended, arrived := make(chan struct{}), make(chan error, 1)
+	p := newListeningPool(t, func(c net.Conn) {
 		<-ended
 		c.SetReadDeadline(time.Now().Add(testTimeout))
-		_, err = readSlowly(c, 0)
+		_, err := readSlowly(c, 0)
 		arrived <- err
-	}()
-	p.Set("s-2", Target{Address: l.Addr().String()})
+	})
 	r := &Request{Method: "POST", URI: "/", Host: "x", Body: make([]byte, 1<<20)}
-	_, result := p.Do(new(Call), "s-2", r, time.Now().Add(300*time.Millisecond), nil)
+	_, result := p.Do(new(Call), "s-1", r, time.Now().Add(300*time.Millisecond), nil)
 	if result != balance.Timeout {
 		t.Fatalf("result %v, want a timeout after the last byte has been written", result)
 	}
@@ -87,32 +92,18 @@
 	for _, pause := range []bool{false, true} {
 		t.Run(fmt.Sprint(pause), func(t *testing.T) {
 			arrived := make(chan error, 1)
-			p := New(Config{DialTimeout: testTimeout, IdleTimeout: testTimeout, MaxConns: 5})
-			defer p.Close()
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.Close()
-			go func() {
-				c, err := l.Accept()
-				if err != nil {
-					arrived <- err
-					return
-				}
-				defer c.Close()
-				_, err = readSlowly(c, 0)
+			p := newListeningPool(t, func(c net.Conn) {
+				_, err := readSlowly(c, 0)
 				arrived <- err
 				fmt.Fprint(c, okResponse)
-			}()
-			p.Set("s-2", Target{Address: l.Addr().String()})
+			})
 			r := &Request{Method: "POST", URI: "/", Host: "x", Body: make([]byte, 1<<20)}
 			observer := &pausingObserver{deadline: time.Now().Add(time.Second), pause: pause}
-			resp, result := p.Do(new(Call), "s-2", r, time.Now().Add(testTimeout), observer)
+			resp, result := p.Do(new(Call), "s-1", r, time.Now().Add(testTimeout), observer)
 			if resp != nil {
 				resp.Release()
 			}
-			err = <-arrived
+			err := <-arrived
 			if want := map[bool]balance.Result{false: balance.OK, true: balance.NotSent}[pause]; result != want || pause == (err == nil) {
 				t.Errorf("result %v, want %v; the endpoint read the request with error %v", result, want, err)
 			}
@@ -125,41 +116,27 @@
 func TestToldBudgetAllowsForLongBody(t *testing.T) {
 	const attemptTimeout = 2 * time.Second
 	budgets := make(chan string, 2)
-	p := New(Config{DialTimeout: testTimeout, IdleTimeout: testTimeout, MaxConns: 5})
-	defer p.Close()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			budget, err := readSlowly(c, 8*time.Millisecond)
-			if err != nil && !errors.Is(err, net.ErrClosed) {
-				budget = err.Error()
-			}
-			budgets <- budget
-			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\ngood")
-			c.Close()
+	p := newListeningPool(t, func(c net.Conn) {
+		budget, err := readSlowly(c, 8*time.Millisecond)
+		if err != nil {
+			budget = err.Error()
 		}
-	}()
-	p.Set("s-2", Target{Address: l.Addr().String()})
+		budgets <- budget
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\ngood")
+	})
 	var told [2]int
 	for i := range told {
 		r := &Request{Method: "POST", URI: "/", Host: "x", Body: make([]byte, 6<<20)}
-		resp, result := p.Do(new(Call), "s-2", r, time.Now().Add(attemptTimeout), &pausingObserver{})
+		resp, result := p.Do(new(Call), "s-1", r, time.Now().Add(attemptTimeout), &pausingObserver{})
 		if result != balance.OK {
 			t.Fatalf("result %v", result)
 		}
 		resp.Release()
-		text := <-budgets
-		if told[i], err = strconv.Atoi(text); err != nil {
+		ms, err := strconv.Atoi(<-budgets)
+		if err != nil {
 			t.Fatal(err)
 		}
+		told[i] = ms
 	}
 	if told[1] > told[0]-200 { // 6 MiB with a pause of 8 ms for each 64 KiB take 0.77 s
 		t.Errorf("the endpoint was told a budget of %d ms, after %d ms for the request before", told[1], told[0])
