upstream: a forwarded request whose last byte is written counts as sent

The callers had left and saw nothing.

Cause: the end of a body was learned by one more read after its last byte had been written, and a caller who left in between had the upload aborted as never sent.

Change: a body of known length is complete once its last byte is written. The last chunk of one in chunks is written after that look, so that it cannot have run.

TestUploadCountsAsSentOnceItsLastByteIsWritten failed before. 24 copies of the first test at once: 3 failed before, none after; that test is unchanged.

--- a/internal/upstream/delivery_test.go
+++ b/internal/upstream/delivery_test.go
@@ -142,3 +142,38 @@
 		t.Errorf("the endpoint was told a budget of %d ms, after %d ms for the request before", told[1], told[0])
 	}
 }
+
+// leavingBody is a body whose caller leaves when it has been read.
+type leavingBody struct {
+	data   []byte
+	upload *Upload
+}
+
+func (b *leavingBody) Read(p []byte) (int, error) {
+	if len(b.data) == 0 {
+		b.upload.Abort()
+		return 0, io.EOF
+	}
+	n := copy(p, b.data)
+	b.data = b.data[n:]
+	return n, nil
+}
+
+// A forwarded request whose last byte has been written counts as sent, although its caller leaves right after.
+func TestUploadCountsAsSentOnceItsLastByteIsWritten(t *testing.T) {
+	p := newListeningPool(t, func(c net.Conn) {
+		if _, err := readSlowly(c, 0); err == nil {
+			fmt.Fprint(c, okResponse)
+		}
+	})
+	u := &Upload{Length: 100 << 10, Commit: func() bool { return true }, ResponseTimeout: testTimeout}
+	u.Remaining = &leavingBody{make([]byte, u.Length), u}
+	r := &Request{Method: "POST", URI: "/", Host: "x", Upload: u}
+	resp, result := p.Do(new(Call), "s-1", r, time.Now().Add(testTimeout), nil)
+	if result != balance.OK || !u.Sent() {
+		t.Errorf("result %v, sent %t, error %v; want a response", result, u.Sent(), u.Err())
+	}
+	if resp != nil {
+		resp.Release()
+	}
+}
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -155,6 +155,9 @@
 		if err := f.write(nil, buffer.Bytes()[:n]); err != nil {
 			return false, err
 		}
+		if f.upload.Length >= 0 && f.unread == 0 { // the endpoint may run it: a caller who leaves now changes nothing
+			return true, nil
+		}
 	}
 	switch err {
 	case nil:
